--- /dev/null
+++ b/include/eelgrassgw/agent/engine_backend.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// A model engine with the OpenAI-style streaming protocol.
+
+#include "eelgrassgw/agent/backend_adapter.h"
+#include "eelgrassgw/transport/http_client.h"
+
+namespace eelgrassgw {
+
+/// Meets `backend_adapter`. Thread-safe.
+class engine_backend {
+public:
+    engine_backend(endpoint engine, http_timeouts timeouts)
+        : engine_(std::move(engine)), timeouts_(timeouts) {}
+
+    run_outcome execute(run& r, std::uint64_t fencing);
+    result<done> cancel(const std::string& request_id, std::uint64_t fencing);
+    result<done> take_over(std::uint64_t fencing);
+    result<backend_load> load();
+
+private:
+    /// Reads events until the end marker. Returns false where the stream broke before it.
+    bool follow(http_stream& stream, run& r, std::uint64_t fencing);
+    run_outcome settle_broken(run& r, std::uint64_t fencing, const std::string& why);
+    result<done> order(const std::string& path, const Json::Value& body);
+
+    endpoint engine_;
+    http_timeouts timeouts_;
+};
+
+static_assert(backend_adapter<engine_backend>);
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/agent/run_slots.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// Admission to a backend server: a bounded number of runs, a bounded queue, priorities.
+
+#include "eelgrassgw/run/run.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <list>
+#include <mutex>
+#include <string>
+
+namespace eelgrassgw {
+
+/// Thread-safe. Higher priorities go first, but every fourth free slot goes to the longest waiter, so that
+/// no priority starves.
+class run_slots {
+public:
+    run_slots(int max_running, int max_queued) : max_running_(max_running), max_queued_(max_queued) {}
+
+    /// A place in the queue. Returns false where the queue is full.
+    bool enter_queue();
+
+    /// Gives a place up. Precondition: `enter_queue` returned true.
+    void leave_queue();
+
+    /// Waits for a slot. Returns false where the deadline passes or the run is cancelled first; the place in
+    /// the queue is then gone. Precondition: `enter_queue` returned true.
+    bool wait_for_slot(const run& r);
+
+    /// Frees a slot that was held for `busy`.
+    void release(std::chrono::milliseconds busy);
+
+    /// When a caller that is refused now may expect a place, from the measured drain rate.
+    std::chrono::milliseconds expected_wait() const;
+
+    int running() const;
+    int queued() const;
+
+private:
+    struct waiter {
+        int rank = 0;
+        std::uint64_t arrival = 0;
+        bool admitted = false;
+    };
+
+    void admit_next();
+
+    const int max_running_;
+    const int max_queued_;
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::list<waiter> waiters_;
+    int places_ = 0; ///< Promised by `enter_queue` and not yet waiting.
+    int running_ = 0;
+    std::uint64_t arrivals_ = 0;
+    std::uint64_t admissions_ = 0;
+    double mean_busy_ms_ = 500;
+};
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/base/failpoint.h
@@ -0,0 +1,34 @@
+#pragma once
+
+/// Named places at which a test build can fail. Release builds compile them to nothing.
+
+#include <string>
+
+namespace eelgrassgw {
+
+/// What an armed failpoint does at its place.
+enum class failpoint_action {
+    none,  ///< Not armed.
+    skip,  ///< The caller leaves out the guarded step.
+    error, ///< The caller behaves as if the step had failed.
+};
+
+namespace internal {
+failpoint_action hit_failpoint(const char* name);
+} // namespace internal
+
+/// Arms failpoints from a text such as "journal_write=exit:2,seal=skip,fold=freeze". `exit` ends the
+/// process at once, `freeze` stops it with SIGSTOP, `skip` and `error` are returned by `failpoint`; a number
+/// after the colon says at which pass (1 is the first). Does nothing in release builds.
+void arm_failpoints(const std::string& text);
+
+/// Marks a place. Example: `if (failpoint("seal") == failpoint_action::skip) { return; }`. Thread-safe.
+inline failpoint_action failpoint([[maybe_unused]] const char* name) {
+#ifdef EELGRASSGW_FAILPOINTS
+    return internal::hit_failpoint(name);
+#else
+    return failpoint_action::none;
+#endif
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/ledger/ledger_client.h
@@ -0,0 +1,359 @@
+#pragma once
+
+/// One router incarnation's dealings with the ledger: grants, returns and the folding of its journal.
+
+#include "eelgrassgw/base/failpoint.h"
+#include "eelgrassgw/journal/journal_segment.h"
+#include "eelgrassgw/ledger/allowance_book.h"
+#include "eelgrassgw/ledger/allowance_policy.h"
+#include "eelgrassgw/platform/object_store.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace eelgrassgw {
+
+/// Keeps a router's `allowance_book` in step with the ledger. All methods are thread-safe.
+///
+/// A write whose answer was lost is settled by the version it was conditional on: once the shard has a newer
+/// version, the write either shows there by its operation number or can never land.
+template <object_store Store, allowance_policy Policy>
+class ledger_client {
+public:
+    ledger_client(Store& store, std::string incarnation, unsigned shard_count, allowance_book& book,
+                  Policy policy, std::function<std::size_t()> router_count)
+        : store_(store), incarnation_(std::move(incarnation)), book_(book), policy_(policy),
+          router_count_(std::move(router_count)) {
+        for (unsigned i = 0; i < shard_count; ++i) {
+            shards_.push_back(std::make_unique<shard_state>());
+        }
+    }
+
+    /// Reserves `amount` in the book, with a grant from the ledger where the book has too little.
+    /// Errors: `budget_exhausted`, `budget_unreachable`, `not_found`, `fenced`.
+    result<done> reserve(const std::string& budget, tokens amount) {
+        const steady_time now = std::chrono::steady_clock::now();
+        if (book_.reserve(budget, amount, now)) {
+            return done{};
+        }
+        shard_state& state = state_of(budget);
+        const std::lock_guard lock(state.mutex);
+        if (book_.reserve(budget, amount, now)) {
+            return done{};
+        }
+        const result<done> granted = grant(state, budget, amount);
+        if (!granted) {
+            return as_budget_failure(granted.error(), budget);
+        }
+        if (!book_.reserve(budget, amount, now)) {
+            return make_failure(errc::budget_exhausted, "reserve", "",
+                                "budget \"" + budget + "\" was drawn on by other requests meanwhile");
+        }
+        return done{};
+    }
+
+    /// Notes a journal segment that is written and not yet part of `settled`.
+    void add_unfolded(const journal_segment& segment) {
+        for (unsigned i = 0; i < shards_.size(); ++i) {
+            std::vector<budget_spend> spends = spends_of(segment.records, i, shard_count());
+            if (!spends.empty()) {
+                const std::lock_guard lock(shards_[i]->mutex);
+                shards_[i]->unfolded.push_back({segment.number, std::move(spends)});
+            }
+        }
+    }
+
+    /// Folds what the journal has into every shard that needs it. Returns the first failure.
+    result<done> fold_all() {
+        result<done> outcome = done{};
+        for (auto& state : shards_) {
+            const std::lock_guard lock(state->mutex);
+            if (state->unfolded.empty()) {
+                continue;
+            }
+            const result<done> folded = update(*state, [](ledger_shard&) { return result<done>(done{}); });
+            if (!folded && outcome) {
+                outcome = folded;
+            }
+        }
+        return outcome;
+    }
+
+    /// Returns up to `amount` available tokens of `budget` to the ledger. The result is how many went back.
+    result<tokens> give_back(const std::string& budget, tokens amount) {
+        shard_state& state = state_of(budget);
+        const std::lock_guard lock(state.mutex);
+        const tokens taken = book_.take_back(budget, amount);
+        if (taken == 0) {
+            return tokens{0};
+        }
+        state.returning = {budget, taken};
+        const result<done> returned =
+            update(state, [&](ledger_shard& shard) { return shard.give_back(incarnation_, budget, taken); });
+        state.returning = {};
+        if (!returned) {
+            // Tokens whose return may still land stay out of the book until a newer version tells.
+            if (!state.unresolved_on) {
+                book_.add_grant(budget, taken);
+            }
+            return returned.error();
+        }
+        return taken;
+    }
+
+    /// Ends this incarnation in every shard. Precondition: nothing is in flight and all is journalled.
+    result<done> close() {
+        for (auto& state : shards_) {
+            const std::lock_guard lock(state->mutex);
+            if (!state->has_holder) {
+                continue;
+            }
+            const result<done> closed = update(*state, [&](ledger_shard& shard) {
+                shard.close_holder(incarnation_);
+                return result<done>(done{});
+            });
+            if (!closed && !closed.failed_with(errc::fenced)) {
+                return closed.error();
+            }
+        }
+        return done{};
+    }
+
+    /// Other incarnations that hold tokens of `budget`, as last seen.
+    std::vector<std::string> other_holders(const std::string& budget) {
+        shard_state& state = state_of(budget);
+        const std::lock_guard lock(state.mutex);
+        std::vector<std::string> names;
+        for (const auto& [name, holder] : state.shard.holders()) {
+            if (name != incarnation_ && holder.allowances.contains(budget)) {
+                names.push_back(name);
+            }
+        }
+        return names;
+    }
+
+    /// Makes the next request look at the ledger itself, for example after another router gave tokens back.
+    void forget_cached(const std::string& budget) {
+        shard_state& state = state_of(budget);
+        const std::lock_guard lock(state.mutex);
+        state.known = false;
+    }
+
+    unsigned shard_count() const { return static_cast<unsigned>(shards_.size()); }
+
+private:
+    static constexpr int max_tries = 8;
+    static constexpr std::chrono::milliseconds cache_freshness{100};
+
+    struct unfolded_segment {
+        std::int64_t number = 0;
+        std::vector<budget_spend> spends;
+    };
+
+    /// Tokens that left the book and are on their way back to the ledger.
+    struct pending_return {
+        std::string budget;
+        tokens amount = 0;
+    };
+
+    struct shard_state {
+        std::mutex mutex;
+        bool known = false;      ///< `shard` and `version` are what was last read or written.
+        bool has_holder = false; ///< The ledger has an entry of this incarnation.
+        ledger_shard shard;
+        object_version version = absent_version;
+        steady_time read_at{};
+        std::uint64_t operation = 0;                 ///< Number of the last write that was tried.
+        std::uint64_t first_operation = 0;           ///< Number of the first write of the call under way.
+        std::optional<object_version> unresolved_on; ///< A write on this version may still land.
+        pending_return returning;
+        std::vector<unfolded_segment> unfolded;
+    };
+
+    shard_state& state_of(const std::string& budget) { return *shards_[shard_of(budget, shard_count())]; }
+
+    unsigned number_of(const shard_state& state) const {
+        for (unsigned i = 0; i < shards_.size(); ++i) {
+            if (shards_[i].get() == &state) {
+                return i;
+            }
+        }
+        return 0;
+    }
+
+    result<done> grant(shard_state& state, const std::string& budget, tokens amount) {
+        return update(state, [&](ledger_shard& shard) -> result<done> {
+            grant_situation situation;
+            situation.needed = amount - book_.state(budget).available();
+            situation.free = shard.free_tokens(budget);
+            situation.routers = router_count_();
+            situation.spend_rate_per_second = book_.spend_rate(budget, std::chrono::steady_clock::now());
+            const tokens size = policy_.grant_size(situation);
+            return shard.grant(incarnation_, budget, std::max(size, std::max<tokens>(situation.needed, 1)));
+        });
+    }
+
+    /// Applies `change`, together with all folds that are due, by a conditional write.
+    template <class Change>
+    result<done> update(shard_state& state, Change change) {
+        state.first_operation = state.operation + 1;
+        for (int i = 0; i < max_tries; ++i) {
+            if (!state.known || state.unresolved_on) {
+                const result<done> read = refresh(state);
+                if (!read) {
+                    return read.error();
+                }
+                if (has_landed(state)) {
+                    return done{};
+                }
+            }
+            ledger_shard next = state.shard;
+            const result<done> changed = fold_then(state, next, change);
+            if (!changed) {
+                if (changed.failed_with(errc::fenced) || is_fresh(state)) {
+                    return changed.error();
+                }
+                state.known = false;
+                continue;
+            }
+            const result<done> written = write(state, std::move(next));
+            if (written || !written.failed_with(errc::version_conflict)) {
+                return written;
+            }
+        }
+        return make_failure(errc::unreachable, "ledger update", "", "too many writers race for one shard");
+    }
+
+    /// Whether a write of the call under way shows in the shard.
+    bool has_landed(const shard_state& state) const {
+        const allowance_holder* holder = state.shard.find_holder(incarnation_);
+        return !state.unresolved_on && holder != nullptr && holder->operation >= state.first_operation;
+    }
+
+    template <class Change>
+    result<done> fold_then(shard_state& state, ledger_shard& next, Change change) {
+        if (state.has_holder && next.find_holder(incarnation_) == nullptr) {
+            return make_failure(errc::fenced, "ledger update", "",
+                                "recovery closed holder \"" + incarnation_ + "\"");
+        }
+        if (failpoint("ledger_fold") != failpoint_action::skip) {
+            for (const unfolded_segment& segment : state.unfolded) {
+                const result<done> folded = next.fold(incarnation_, segment.number, segment.spends);
+                if (!folded) {
+                    return folded;
+                }
+            }
+        }
+        const result<done> changed = change(next);
+        if (changed && next.find_holder(incarnation_) != nullptr) {
+            next.note_operation(incarnation_, ++state.operation);
+        }
+        return changed;
+    }
+
+    result<done> write(shard_state& state, ledger_shard next) {
+        failpoint("ledger_before_write");
+        const std::string key = ledger_key(number_of(state));
+        const result<object_version> written = store_.put(key, next.to_text(), state.version);
+        failpoint("ledger_after_write");
+        if (written) {
+            state.shard = std::move(next);
+            state.version = written.value();
+            state.unresolved_on.reset();
+            state.returning = {};
+            adopt(state);
+            return done{};
+        }
+        if (written.failed_with(errc::unreachable)) {
+            return written.error();
+        }
+        state.known = false;
+        if (written.failed_with(errc::outcome_unknown)) {
+            state.unresolved_on = state.version;
+            return make_failure(errc::version_conflict, "ledger update", written.error().peer,
+                                "the answer was lost: " + written.error().message);
+        }
+        return written.error();
+    }
+
+    result<done> refresh(shard_state& state) {
+        const result<std::optional<stored_object>> read = store_.get(ledger_key(number_of(state)));
+        if (!read) {
+            return read.error();
+        }
+        const object_version version = read.value() ? read.value()->version : absent_version;
+        if (read.value()) {
+            result<ledger_shard> parsed = ledger_shard::from_text(read.value()->value);
+            if (!parsed) {
+                return parsed.error();
+            }
+            state.shard = std::move(parsed.value());
+        }
+        state.version = version;
+        state.known = true;
+        state.read_at = std::chrono::steady_clock::now();
+        if (state.unresolved_on && *state.unresolved_on != version) {
+            state.unresolved_on.reset();
+            if (has_landed(state)) {
+                state.returning = {};
+            }
+            adopt(state);
+        }
+        return done{};
+    }
+
+    bool is_fresh(const shard_state& state) const {
+        return std::chrono::steady_clock::now() - state.read_at < cache_freshness;
+    }
+
+    /// Takes over the ledger's view of this incarnation. Precondition: no write may still land.
+    void adopt(shard_state& state) {
+        const allowance_holder* holder = state.shard.find_holder(incarnation_);
+        if (holder == nullptr) {
+            return;
+        }
+        state.has_holder = true;
+        adopt_folds(state, *holder);
+        for (const std::string& budget : book_.budgets()) {
+            if (shard_of(budget, shard_count()) != number_of(state)) {
+                continue;
+            }
+            const auto it = holder->allowances.find(budget);
+            const tokens in_ledger = it == holder->allowances.end() ? 0 : it->second;
+            const tokens confirmed =
+                in_ledger - (budget == state.returning.budget ? state.returning.amount : 0);
+            book_.add_grant(budget, confirmed - book_.state(budget).granted);
+        }
+    }
+
+    void adopt_folds(shard_state& state, const allowance_holder& holder) {
+        std::erase_if(state.unfolded, [&](const unfolded_segment& segment) {
+            if (segment.number > holder.folded_through) {
+                return false;
+            }
+            for (const budget_spend& spend : segment.spends) {
+                book_.note_folded(spend.budget, spend.billed + spend.withheld);
+            }
+            return true;
+        });
+    }
+
+    failure as_budget_failure(const failure& cause, const std::string& budget) const {
+        if (cause.code == errc::budget_exhausted || cause.code == errc::not_found ||
+            cause.code == errc::fenced) {
+            return cause;
+        }
+        return make_failure(errc::budget_unreachable, "reserve", cause.peer,
+                            "budget \"" + budget + "\" cannot be asked: " + cause.text());
+    }
+
+    Store& store_;
+    std::string incarnation_;
+    allowance_book& book_;
+    Policy policy_;
+    std::function<std::size_t()> router_count_;
+    std::vector<std::unique_ptr<shard_state>> shards_;
+};
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/membership/agent_registration.h
@@ -0,0 +1,174 @@
+#pragma once
+
+/// An agent's own entry in the object API, and what it looks up about routers.
+
+#include "eelgrassgw/base/hash.h"
+#include "eelgrassgw/base/log.h"
+#include "eelgrassgw/membership/member.h"
+
+#include <algorithm>
+#include <mutex>
+#include <set>
+
+namespace eelgrassgw {
+
+/// Registers one agent incarnation and learns whether routers are sealed. Thread-safe.
+///
+/// An agent registers before it looks a router up, and recovery seals a router before it lists the agents:
+/// so either the agent sees the seal, or recovery sees the agent.
+template <object_store Store>
+class agent_registration {
+public:
+    agent_registration(Store& store, agent_member self) : store_(store), self_(std::move(self)) {}
+
+    /// Replaces whatever entry this backend server had. A predecessor that did not close is noted as lost,
+    /// together with the routers that may have had tickets there. Safe to repeat after a lost answer.
+    result<done> register_now() {
+        const std::lock_guard lock(mutex_);
+        const result<std::optional<stored_object>> existing = store_.get(agent_key(self_.backend_server));
+        if (!existing) {
+            return existing.error();
+        }
+        if (existing.value()) {
+            const result<agent_member> previous = agent_member::from_object(*existing.value());
+            if (!previous) {
+                return previous.error();
+            }
+            if (previous.value().incarnation == self_.incarnation) {
+                self_.version = existing.value()->version;
+                return done{};
+            }
+            const result<done> noted = note_predecessor(previous.value());
+            if (!noted) {
+                return noted;
+            }
+        }
+        const object_version expected = existing.value() ? existing.value()->version : absent_version;
+        const result<object_version> written =
+            store_.put(agent_key(self_.backend_server), self_.to_text(), expected);
+        if (!written) {
+            return written.error();
+        }
+        self_.version = written.value();
+        return done{};
+    }
+
+    /// Whether `router` may still have tickets run. Errors: the object API cannot be asked.
+    result<bool> is_live(const std::string& router) {
+        const result<std::optional<stored_object>> object = store_.get(router_key(router));
+        if (!object) {
+            return object.error();
+        }
+        if (!object.value()) {
+            return false;
+        }
+        const result<router_member> found = router_member::from_object(*object.value());
+        if (!found) {
+            return found.error();
+        }
+        return found.value().state == member_state::live || found.value().state == member_state::draining;
+    }
+
+    /// Routers that are not closed.
+    result<std::vector<router_member>> open_routers() {
+        const result<object_changes> listed = store_.list(routers_prefix);
+        if (!listed) {
+            return listed.error();
+        }
+        std::vector<router_member> open;
+        for (const stored_object& object : listed.value().changed) {
+            const result<router_member> router = router_member::from_object(object);
+            if (router && router.value().state != member_state::closed) {
+                open.push_back(router.value());
+            }
+        }
+        return open;
+    }
+
+    /// Changes the state in the entry. Errors: `fenced` where another incarnation took the entry.
+    result<done> set_state(member_state state) {
+        const std::lock_guard lock(mutex_);
+        agent_member changed = self_;
+        changed.state = state;
+        return replace(std::move(changed));
+    }
+
+    /// Looks whether the entry is still this incarnation's. Errors: `fenced`.
+    result<done> check() {
+        const result<std::optional<stored_object>> object = store_.get(agent_key(self_.backend_server));
+        if (!object) {
+            return object.error();
+        }
+        const result<agent_member> found =
+            object.value()
+                ? agent_member::from_object(*object.value())
+                : result<agent_member>(make_failure(errc::fenced, "check registration", "", "no entry"));
+        if (!found) {
+            return found.error();
+        }
+        if (found.value().incarnation != self_.incarnation) {
+            return make_failure(errc::fenced, "check registration", "",
+                                "agent \"" + found.value().incarnation +
+                                    "\" has taken over backend server \"" + self_.backend_server + "\"");
+        }
+        return done{};
+    }
+
+    /// Grows with every registration for this backend server; engines that check orders refuse a lower one.
+    std::uint64_t fencing_number() const {
+        const std::lock_guard lock(mutex_);
+        return self_.version;
+    }
+
+private:
+    result<done> note_predecessor(const agent_member& previous) {
+        self_.lost = previous.lost;
+        const result<std::vector<router_member>> routers = open_routers();
+        if (!routers) {
+            return routers.error();
+        }
+        std::set<std::string> open;
+        for (const router_member& router : routers.value()) {
+            open.insert(router.incarnation);
+        }
+        if (previous.state != member_state::closed) {
+            self_.lost.push_back({previous.incarnation, {open.begin(), open.end()}});
+        }
+        drop_settled(open);
+        return done{};
+    }
+
+    /// Forgets lost incarnations all of whose routers are closed.
+    void drop_settled(const std::set<std::string>& open) {
+        std::erase_if(self_.lost, [&](const lost_incarnation& entry) {
+            return std::none_of(entry.routers.begin(), entry.routers.end(),
+                                [&](const std::string& router) { return open.contains(router); });
+        });
+    }
+
+    result<done> replace(agent_member changed) {
+        const result<object_version> written =
+            store_.put(agent_key(self_.backend_server), changed.to_text(), self_.version);
+        if (written) {
+            changed.version = written.value();
+            self_ = std::move(changed);
+            return done{};
+        }
+        if (!written.failed_with(errc::version_conflict)) {
+            return written.error();
+        }
+        const result<std::optional<stored_object>> object = store_.get(agent_key(self_.backend_server));
+        if (object && object.value() && object.value()->value == changed.to_text()) {
+            changed.version = object.value()->version;
+            self_ = std::move(changed);
+            return done{};
+        }
+        return make_failure(errc::fenced, "change registration", "", "another agent holds the entry");
+    }
+
+    Store& store_;
+    mutable std::mutex mutex_;
+    agent_member self_;
+};
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/membership/fleet_view.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// What a router knows of the fleet's agents and routers; old news by nature.
+
+#include "eelgrassgw/configuration/configuration.h"
+#include "eelgrassgw/membership/member.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace eelgrassgw {
+
+/// Thread-safe. Never proof of anything: it only decides what is tried.
+class fleet_view {
+public:
+    void apply_agents(const object_changes& changes);
+    void apply_routers(const object_changes& changes);
+
+    /// Live agents whose backend server serves `name` under `in_force`.
+    std::vector<agent_member> agents_serving(const configuration& in_force, const std::string& name) const;
+
+    std::vector<agent_member> agents() const;
+    std::optional<agent_member> find_agent(const std::string& backend_server) const;
+    std::optional<agent_member> find_agent_incarnation(const std::string& incarnation) const;
+
+    /// Whether the agent incarnation was replaced, so that its records cannot be asked for any more.
+    bool is_lost(const std::string& agent_incarnation) const;
+
+    std::vector<router_member> routers() const;
+    std::optional<router_member> find_router(const std::string& incarnation) const;
+
+    /// Routers that may draw on budgets; at least 1.
+    std::size_t live_router_count() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, agent_member> agents_;   ///< By key.
+    std::map<std::string, router_member> routers_; ///< By key.
+};
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/router/internal/router_peers.h
@@ -0,0 +1,158 @@
+#pragma once
+
+/// Member functions of `router` that speak with other routers.
+
+namespace eelgrassgw {
+
+template <object_store Store>
+void router<Store>::add_rpc_methods() {
+    rpc_.add("configuration", [this](const Json::Value&) {
+        Json::Value reply(Json::objectValue);
+        const std::shared_ptr<const configuration> in_force = configurations_.current();
+        if (in_force != nullptr) {
+            reply["document"] = in_force->document();
+        }
+        return reply;
+    });
+    rpc_.add("give_back", [this](const Json::Value& params) { return give_back(params); });
+    rpc_.add("find_request", [this](const Json::Value& params) {
+        const std::string id = string_member(params, "request_id");
+        const std::optional<request_entry> entry = requests_.find(id);
+        const std::string customer = string_member(params, "customer");
+        Json::Value reply;
+        reply["known"] = entry.has_value() && entry->state != request_state::not_run;
+        if (entry && (customer.empty() || entry->customer == customer)) {
+            reply["entry"] = entry->to_json(id);
+        }
+        return reply;
+    });
+    rpc_.add("recent_requests", [this](const Json::Value& params) {
+        Json::Value reply;
+        const std::shared_ptr<session> own = current_session();
+        reply["router"] = own == nullptr ? "" : own->incarnation();
+        reply["request_ids"] = Json::arrayValue;
+        for (const std::string& id : requests_.requests_at(string_member(params, "backend_server"))) {
+            reply["request_ids"].append(id);
+        }
+        return reply;
+    });
+}
+
+template <object_store Store>
+Json::Value router<Store>::give_back(const Json::Value& params) {
+    Json::Value reply;
+    reply["returned"] = 0;
+    const std::shared_ptr<session> own = current_session();
+    if (own == nullptr) {
+        return reply;
+    }
+    const std::string budget = string_member(params, "budget");
+    const result<tokens> returned = own->ledger().give_back(budget, int_member(params, "amount"));
+    if (returned) {
+        reply["returned"] = Json::Int64(returned.value());
+        Json::Value fields;
+        fields["budget"] = budget;
+        fields["returned"] = reply["returned"];
+        log("allowance_given_back", fields);
+    }
+    return reply;
+}
+
+/// Asks the other holders of a budget to return what they do not need. Returns whether any did.
+template <object_store Store>
+bool router<Store>::reclaim(const std::string& budget, tokens amount) {
+    const std::shared_ptr<session> own = current_session();
+    tokens returned = 0;
+    for (const std::string& holder : own->ledger().other_holders(budget)) {
+        const std::optional<router_member> peer = view_.find_router(holder);
+        if (!peer || peer->state != member_state::live || returned >= amount) {
+            continue;
+        }
+        Json::Value params;
+        params["budget"] = budget;
+        params["amount"] = Json::Int64(amount - returned);
+        const result<Json::Value> reply =
+            call_peer(peer->address, settings_.common.fleet_key, "give_back", params,
+                      {std::chrono::milliseconds(200), std::chrono::milliseconds(500)});
+        returned += reply ? int_member(reply.value(), "returned") : 0;
+    }
+    Json::Value fields;
+    fields["budget"] = budget;
+    fields["wanted"] = Json::Int64(amount);
+    fields["returned"] = Json::Int64(returned);
+    log("allowance_reclaimed", fields);
+    return returned > 0;
+}
+
+template <object_store Store>
+bool router<Store>::is_unknown_to_peers(const std::string& request_id) {
+    const std::shared_ptr<session> own = current_session();
+    for (const router_member& peer : view_.routers()) {
+        if (peer.incarnation == own->incarnation()) {
+            continue;
+        }
+        if (peer.state == member_state::sealed) {
+            return false;
+        }
+        if (peer.state == member_state::closed) {
+            if (is_billed_in_closed_journal(peer.incarnation, request_id)) {
+                return false;
+            }
+            continue;
+        }
+        Json::Value params;
+        params["request_id"] = request_id;
+        const result<Json::Value> reply =
+            call_peer(peer.address, settings_.common.fleet_key, "find_request", params, http_timeouts{});
+        if (!reply || bool_member(reply.value(), "known", true)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+template <object_store Store>
+bool router<Store>::is_billed_in_closed_journal(const std::string& router_incarnation,
+                                                const std::string& request_id) {
+    const result<journal_contents> journal = journal_store<Store>(store_).read(router_incarnation);
+    if (!journal || journal.value().has_bill(request_id)) {
+        return true; // A journal that cannot be read may have it.
+    }
+    if (!journal.value().recovery) {
+        return false;
+    }
+    const auto& records = journal.value().recovery->records;
+    return std::any_of(records.begin(), records.end(),
+                       [&](const billing_record& record) { return record.request_id == request_id; });
+}
+
+/// While the object API is down: adopts the highest configuration that any known router shows.
+template <object_store Store>
+void router<Store>::ask_peers_for_configuration() {
+    std::vector<endpoint> peers = settings_.peers;
+    for (const router_member& peer : view_.routers()) {
+        peers.push_back(peer.address);
+    }
+    for (const endpoint& peer : peers) {
+        if (peer == settings_.common.listen) {
+            continue;
+        }
+        const result<Json::Value> reply = call_peer(peer, settings_.common.fleet_key, "configuration",
+                                                    Json::Value(Json::objectValue), http_timeouts{});
+        if (reply && reply.value().isMember("document")) {
+            configurations_.offer(reply.value()["document"], "peer");
+        }
+    }
+}
+
+template <object_store Store>
+void router<Store>::refresh_configuration() {
+    const result<std::optional<configuration>> read = configuration_store<Store>(store_).read();
+    if (read && read.value()) {
+        configurations_.offer(read.value()->document(), "object API");
+        return;
+    }
+    ask_peers_for_configuration();
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/run/run_table.h
@@ -0,0 +1,95 @@
+#pragma once
+
+/// All runs of one agent incarnation: the aggregate that keeps "at most once for each request id".
+
+#include "eelgrassgw/journal/journal_segment.h"
+#include "eelgrassgw/run/run.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace eelgrassgw {
+
+/// A ticket that was taken, or the earlier run of the same request.
+struct accepted_ticket {
+    std::shared_ptr<run> the_run;
+    bool is_new = false;
+};
+
+/// What a router learns of a request id.
+struct run_status {
+    bool known = false;
+    std::shared_ptr<run> the_run; ///< Null for a tombstone or an unknown id.
+    bool tombstoned = false;      ///< Did not run here and never will.
+};
+
+struct run_table_options {
+    std::chrono::milliseconds output_retention{60000};   ///< For resumption.
+    std::chrono::milliseconds record_retention{3600000}; ///< For repeated keys.
+    std::size_t max_output_bytes = 64U << 20U;           ///< Of ended runs.
+};
+
+/// Thread-safe.
+class run_table {
+public:
+    explicit run_table(run_table_options options) : options_(options) {}
+
+    /// Takes a ticket, or finds the run of its request id. Errors: `draining`; `fenced` (the router's
+    /// incarnation is sealed); `key_reused`; `ran_before`; `refused` (the id is
+    /// tombstoned, or this very ticket was refused before). A refused ticket is refused for good, however
+    /// late a copy of it comes.
+    result<accepted_ticket> accept(const ticket& t);
+
+    /// Notes requests that an earlier incarnation of this agent may have run: they are refused from now on.
+    void mark_ran_before(const std::vector<std::string>& request_ids);
+
+    /// Refuses every ticket with `nonce` from now on.
+    void bar_nonce(const std::string& nonce);
+
+    run_status status(const std::string& request_id) const;
+
+    /// Promises that `request_id` never runs here, unless it is already known. Returns what is known.
+    run_status tombstone(const std::string& request_id);
+
+    /// From now on no ticket of `router` is taken.
+    void seal(const std::string& router);
+    bool is_sealed(const std::string& router) const;
+
+    /// Runs of `router` whose records are not yet in a journal, running ones included.
+    std::vector<std::shared_ptr<run>> unjournalled(const std::string& router) const;
+
+    /// Marks records as journalled.
+    void mark_journalled(const std::vector<std::string>& request_ids);
+
+    void start_draining();
+    bool is_draining() const;
+
+    /// Runs that go on.
+    std::vector<std::shared_ptr<run>> active() const;
+
+    /// Whether every record is in a journal.
+    bool all_journalled() const;
+
+    /// Drops outputs and records that are past their retention and journalled.
+    void expire(steady_time now);
+
+    std::size_t size() const;
+
+private:
+    result<accepted_ticket> take_new(const ticket& t);
+
+    run_table_options options_;
+    mutable std::mutex mutex_;
+    std::map<std::string, std::shared_ptr<run>> runs_;
+    std::map<std::string, steady_time> tombstones_;
+    std::map<std::string, steady_time> ran_before_;
+    std::map<std::string, steady_time> barred_nonces_;
+    std::set<std::string> sealed_routers_;
+    bool draining_ = false;
+};
+
+/// The bill of an ended run. Precondition: its outcome is final.
+billing_record record_of(const run& ended, const std::string& agent);
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/agent/engine_backend.cpp
@@ -0,0 +1,205 @@
+#include "eelgrassgw/agent/engine_backend.h"
+
+namespace eelgrassgw {
+
+namespace {
+
+constexpr int max_resumptions = 2;
+const std::string event_prefix = "data: ";
+const std::string end_marker = "[DONE]";
+
+http_request completion_request(const ticket& t, std::uint64_t fencing) {
+    const result<Json::Value> prompt = parse_json(t.body);
+    Json::Value body = prompt && prompt.value().isObject() ? prompt.value() : Json::Value(Json::objectValue);
+    body["model"] = t.model;
+    body["max_tokens"] = Json::Int64(t.max_tokens);
+    body["stream"] = true;
+    body["stream_options"]["include_usage"] = true;
+    body["stream_options"]["continuous_usage_stats"] = true;
+    body["priority"] = t.priority;
+    body["request_id"] = t.request_id + "." + std::to_string(t.attempt);
+    body["fencing"] = Json::UInt64(fencing);
+    http_request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers["content-type"] = "application/json";
+    request.body = to_text(body);
+    return request;
+}
+
+std::string engine_id(const ticket& t) {
+    return t.request_id + "." + std::to_string(t.attempt);
+}
+
+run_outcome not_run(const std::string& why) {
+    run_outcome outcome;
+    outcome.state = run_state::not_run;
+    outcome.message = why;
+    return outcome;
+}
+
+/// Whether the run shall end now although the engine could go on.
+bool must_stop(const run& r) {
+    const run_outcome outcome = r.outcome();
+    return r.cancel_requested() || std::chrono::steady_clock::now() > r.deadline() ||
+           outcome.used > r.work().reserved;
+}
+
+void apply_event(run& r, const Json::Value& event, std::string& finish) {
+    const Json::Value& usage = member(event, "usage");
+    if (usage.isObject()) {
+        r.note_prompt(int_member(usage, "prompt_tokens"));
+    }
+    const Json::Value& choices = member(event, "choices");
+    if (!choices.isArray() || choices.empty()) {
+        return;
+    }
+    const Json::Value& choice = choices[0];
+    const std::string text = string_member(member(choice, "delta"), "content");
+    const tokens generated = int_member(usage, "completion_tokens") - r.outcome().generated_tokens;
+    if (!text.empty() || generated > 0) {
+        r.append(text, std::max<tokens>(generated, 0));
+    }
+    finish = string_member(choice, "finish_reason", finish);
+}
+
+run_outcome ended_outcome(const run& r, const std::string& finish) {
+    run_outcome outcome = r.outcome();
+    outcome.finish = finish;
+    const bool whole = finish == "stop" || finish == "length";
+    outcome.state = whole ? run_state::done : run_state::cancelled;
+    if (!whole) {
+        outcome.message = "the run was stopped: " + finish;
+    }
+    return outcome;
+}
+
+} // namespace
+
+bool engine_backend::follow(http_stream& stream, run& r, std::uint64_t fencing) {
+    std::string line;
+    std::string finish;
+    bool cancel_sent = false;
+    while (stream.read_line(line)) {
+        if (!line.empty() && line.back() == '\r') {
+            line.pop_back();
+        }
+        if (!line.starts_with(event_prefix)) {
+            continue;
+        }
+        const std::string data = line.substr(event_prefix.size());
+        if (data == end_marker) {
+            r.finish(ended_outcome(r, finish));
+            return true;
+        }
+        const result<Json::Value> event = parse_json(data);
+        if (!event) {
+            return false;
+        }
+        apply_event(r, event.value(), finish);
+        if (!cancel_sent && must_stop(r)) {
+            cancel_sent = true;
+            (void)cancel(engine_id(r.work()), fencing);
+        }
+    }
+    return false;
+}
+
+run_outcome engine_backend::execute(run& r, std::uint64_t fencing) {
+    result<std::unique_ptr<http_stream>> stream =
+        open_http_stream(engine_, completion_request(r.work(), fencing), timeouts_);
+    if (stream.failed_with(errc::unreachable)) {
+        return not_run(stream.error().text());
+    }
+    if (stream && stream.value()->status() != 200) {
+        return not_run("the engine refused with status " + std::to_string(stream.value()->status()) + ": " +
+                       stream.value()->read_rest());
+    }
+    if (stream && follow(*stream.value(), r, fencing)) {
+        return r.outcome();
+    }
+    std::string why = stream ? "the engine's stream broke" : stream.error().text();
+    for (int i = 0; i < max_resumptions; ++i) {
+        http_request request;
+        request.path = "/v1/chat/completions/" + engine_id(r.work());
+        request.query = "from=" + std::to_string(r.outcome().generated_tokens);
+        stream = open_http_stream(engine_, request, timeouts_);
+        if (stream && stream.value()->status() == 404 && r.outcome().used == 0) {
+            break; // The first order may still be on its way: its usage is asked for below.
+        }
+        if (stream && stream.value()->status() == 200 && follow(*stream.value(), r, fencing)) {
+            return r.outcome();
+        }
+    }
+    return settle_broken(r, fencing, why);
+}
+
+run_outcome engine_backend::settle_broken(run& r, std::uint64_t fencing, const std::string& why) {
+    const std::string id = engine_id(r.work());
+    const result<done> cancelled = cancel(id, fencing);
+    http_request request;
+    request.path = "/v1/runs/" + id;
+    const result<http_response> usage = call_http(engine_, request, timeouts_);
+    run_outcome outcome = r.outcome();
+    outcome.state = run_state::failed;
+    outcome.message = why;
+    if (cancelled && usage && usage.value().status == 200) {
+        const result<Json::Value> body = parse_json(usage.value().body);
+        const tokens used =
+            body ? int_member(body.value(), "prompt_tokens") + int_member(body.value(), "completion_tokens")
+                 : outcome.used;
+        outcome.used = std::max(outcome.used, used);
+        outcome.message += "; the engine's own record gives " + std::to_string(outcome.used) + " tokens";
+        return outcome;
+    }
+    outcome.withheld = std::max<tokens>(r.work().reserved - outcome.used, 0);
+    outcome.message += "; the engine cannot be asked what it used";
+    return outcome;
+}
+
+result<done> engine_backend::order(const std::string& path, const Json::Value& body) {
+    http_request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers["content-type"] = "application/json";
+    request.body = to_text(body);
+    const result<http_response> response = call_http(engine_, request, timeouts_);
+    if (!response) {
+        return response.error();
+    }
+    if (response.value().status != 200) {
+        return make_failure(errc::refused, "order " + path, engine_.text(),
+                            "status " + std::to_string(response.value().status));
+    }
+    return done{};
+}
+
+result<done> engine_backend::cancel(const std::string& request_id, std::uint64_t fencing) {
+    Json::Value body;
+    body["request_id"] = request_id;
+    body["fencing"] = Json::UInt64(fencing);
+    return order("/v1/cancel", body);
+}
+
+result<done> engine_backend::take_over(std::uint64_t fencing) {
+    Json::Value body;
+    body["fencing"] = Json::UInt64(fencing);
+    return order("/v1/cancel_all", body);
+}
+
+result<backend_load> engine_backend::load() {
+    http_request request;
+    request.path = "/v1/load";
+    const result<http_response> response = call_http(engine_, request, timeouts_);
+    if (!response) {
+        return response.error();
+    }
+    const result<Json::Value> body = parse_json(response.value().body);
+    if (!body) {
+        return body.error();
+    }
+    return backend_load{static_cast<int>(int_member(body.value(), "running")),
+                        static_cast<int>(int_member(body.value(), "queued"))};
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/agent/service_backend.cpp
@@ -0,0 +1,55 @@
+#include "eelgrassgw/agent/service_backend.h"
+
+#include "eelgrassgw/base/failpoint.h"
+
+namespace eelgrassgw {
+
+run_outcome service_backend::execute(run& r, std::uint64_t /*fencing*/) {
+    const ticket& t = r.work();
+    http_request request;
+    request.method = t.method;
+    request.path = t.path;
+    request.headers["idempotency-key"] = t.request_id;
+    request.headers["content-type"] = "application/json";
+    request.body = t.body;
+    http_timeouts timeouts = timeouts_;
+    timeouts.silence = std::max(timeouts.connect, t.deadline);
+    failpoint("service_before_call");
+    result<http_response> response = call_http(service_, request, timeouts);
+    if (failpoint("service_repeat_call") == failpoint_action::skip && !response) {
+        response = call_http(service_, request, timeouts);
+    }
+    failpoint("service_after_call");
+    run_outcome outcome;
+    if (response.failed_with(errc::unreachable)) {
+        outcome.state = run_state::not_run;
+        outcome.message = response.error().text();
+        return outcome;
+    }
+    if (!response) {
+        outcome.state = run_state::failed;
+        outcome.withheld = t.price;
+        outcome.message = "no answer came; the call may have run: " + response.error().text();
+        return outcome;
+    }
+    r.append(response.value().body, 0);
+    outcome.state = run_state::done;
+    outcome.used = t.price;
+    outcome.status = response.value().status;
+    outcome.finish = "stop";
+    return outcome;
+}
+
+result<done> service_backend::cancel(const std::string& /*request_id*/, std::uint64_t /*fencing*/) {
+    return done{};
+}
+
+result<done> service_backend::take_over(std::uint64_t /*fencing*/) {
+    return done{};
+}
+
+result<backend_load> service_backend::load() {
+    return backend_load{};
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/ctl/eelgrassctl.cpp
@@ -0,0 +1,104 @@
+/// eelgrassctl: the tool of operators and auditors.
+
+#include "command.h"
+
+#include <gflags/gflags.h>
+
+#include <array>
+#include <iostream>
+
+DEFINE_string(object_api, "127.0.0.1:8500", "address and port of the platform's object API");
+DEFINE_string(fleet_key, "", "key of the fleet, for commands that speak to its processes");
+DEFINE_string(file, "", "configuration file (JSON)");
+DEFINE_string(by, "", "who makes the change");
+DEFINE_string(reason, "", "why");
+DEFINE_int64(base, -1, "revision that the change replaces; 0 at first");
+DEFINE_string(customer, "", "customer");
+DEFINE_string(budget, "", "budget");
+DEFINE_string(id, "", "id of a top-up or of a request");
+DEFINE_int64(amount, 0, "tokens to pay in");
+DEFINE_string(agent, "", "name of a backend server");
+DEFINE_string(logs, "", "log files, separated by commas");
+DEFINE_bool(json, false, "print JSON instead of a table");
+
+namespace eelgrassgw::ctl {
+namespace {
+
+constexpr std::array<command, 11> commands = {{
+    {"validate", "validate --file=F", "checks a configuration file and lists every error", validate},
+    {"apply", "apply --file=F --base=REVISION --by=NAME --reason=TEXT",
+     "puts a configuration in force; refused where another one came first. Safe to repeat", apply},
+    {"show", "show [--customer=C] [--json]",
+     "the configuration in force; with a customer, each value and where it comes from", show},
+    {"diff", "diff --file=F",
+     "compares a file with the configuration in force; exit code 1 where they differ", diff},
+    {"top-up", "top-up --customer=C --budget=B --id=ID --amount=TOKENS",
+     "pays tokens in; counts once under its id. Safe to repeat", top_up},
+    {"budget", "budget [--budget=B] [--json]", "what was paid in and what became of it", budget},
+    {"explain", "explain --id=REQUEST [--logs=F,F] [--json]", "each decision about a request, and its bill",
+     explain},
+    {"audit", "audit [--json]", "journal against ledger, to the token; exit code 1 at any difference", audit},
+    {"held", "held [--json]", "what recovery still holds, and why", held},
+    {"drain", "drain --agent=NAME --fleet_key=KEY", "makes a backend server leave", drain},
+    {"forget-agent", "forget-agent --agent=NAME --reason=PROOF",
+     "declares an agent lost whose VM certainly runs no more, so that recovery can end", forget_agent},
+}};
+
+int print_help() {
+    std::cout << "eelgrassctl COMMAND [--object_api=ADDRESS] ...\n\n";
+    for (const command& entry : commands) {
+        std::cout << "  " << entry.usage << "\n      " << entry.help << "\n";
+    }
+    std::cout
+        << "\nExit codes: 0 done; 1 a difference was found; 2 a flag or file is wrong; 3 refused, nothing "
+           "changed; 4 the object API or a process cannot be asked: repeat the command.\n";
+    return exit_ok;
+}
+
+options read_options() {
+    options with;
+    with.object_api = FLAGS_object_api;
+    with.fleet_key = FLAGS_fleet_key;
+    with.file = FLAGS_file;
+    with.by = FLAGS_by;
+    with.reason = FLAGS_reason;
+    with.base = FLAGS_base;
+    with.customer = FLAGS_customer;
+    with.budget = FLAGS_budget;
+    with.id = FLAGS_id;
+    with.amount = FLAGS_amount;
+    with.agent = FLAGS_agent;
+    with.logs = FLAGS_logs;
+    with.json = FLAGS_json;
+    return with;
+}
+
+int run(const std::string& name) {
+    const options with = read_options();
+    const result<endpoint> api = parse_endpoint(with.object_api);
+    if (!api) {
+        return report(api.error());
+    }
+    constexpr std::chrono::milliseconds limit{5000};
+    http_object_store store(api.value(), {limit, limit});
+    for (const command& entry : commands) {
+        if (name == entry.name) {
+            return entry.run(store, with);
+        }
+    }
+    std::cerr << "eelgrassctl: command \"" << name << "\" does not exist; see eelgrassctl help\n";
+    return exit_usage;
+}
+
+} // namespace
+} // namespace eelgrassgw::ctl
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage("COMMAND [flags]; \"eelgrassctl help\" lists the commands");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string name = argc > 1 ? argv[1] : "help";
+    if (name == "help") {
+        return eelgrassgw::ctl::print_help();
+    }
+    return eelgrassgw::ctl::run(name);
+}
--- /dev/null
+++ b/src/membership/member.cpp
@@ -0,0 +1,136 @@
+#include "eelgrassgw/membership/member.h"
+
+#include <array>
+
+namespace eelgrassgw {
+
+namespace {
+
+struct named_state {
+    member_state state;
+    const char* name;
+};
+
+constexpr std::array<named_state, 4> state_names = {{{member_state::live, "live"},
+                                                     {member_state::draining, "draining"},
+                                                     {member_state::sealed, "sealed"},
+                                                     {member_state::closed, "closed"}}};
+
+std::vector<std::string> to_texts(const Json::Value& list) {
+    std::vector<std::string> texts;
+    for (const Json::Value& entry : list) {
+        texts.push_back(entry.asString());
+    }
+    return texts;
+}
+
+} // namespace
+
+const char* const agents_prefix = "agents/";
+const char* const routers_prefix = "routers/";
+
+const char* to_text(member_state state) {
+    return state_names[static_cast<std::size_t>(state)].name;
+}
+
+result<member_state> member_state_from_text(const std::string& text) {
+    for (const named_state& entry : state_names) {
+        if (text == entry.name) {
+            return entry.state;
+        }
+    }
+    return make_failure(errc::malformed, "read member state", "", "\"" + text + "\" is no member state");
+}
+
+std::string agent_member::to_text() const {
+    Json::Value to;
+    to["backend_server"] = backend_server;
+    to["incarnation"] = incarnation;
+    to["address"] = address.text();
+    to["data_centre"] = data_centre;
+    to["state"] = eelgrassgw::to_text(state);
+    to["lost"] = Json::arrayValue;
+    for (const lost_incarnation& entry : lost) {
+        Json::Value item;
+        item["incarnation"] = entry.incarnation;
+        item["routers"] = Json::arrayValue;
+        for (const std::string& router : entry.routers) {
+            item["routers"].append(router);
+        }
+        to["lost"].append(item);
+    }
+    return eelgrassgw::to_text(to);
+}
+
+result<agent_member> agent_member::from_object(const stored_object& object) {
+    const result<Json::Value> document = parse_json(object.value);
+    if (!document) {
+        return document.error();
+    }
+    const result<endpoint> address = parse_endpoint(string_member(document.value(), "address"));
+    if (!address) {
+        return address.error();
+    }
+    const result<member_state> state = member_state_from_text(string_member(document.value(), "state"));
+    if (!state) {
+        return state.error();
+    }
+    agent_member agent;
+    agent.backend_server = string_member(document.value(), "backend_server");
+    agent.incarnation = string_member(document.value(), "incarnation");
+    agent.address = address.value();
+    agent.data_centre = string_member(document.value(), "data_centre");
+    agent.state = state.value();
+    for (const Json::Value& item : member(document.value(), "lost")) {
+        agent.lost.push_back({string_member(item, "incarnation"), to_texts(member(item, "routers"))});
+    }
+    agent.version = object.version;
+    return agent;
+}
+
+std::string router_member::to_text() const {
+    Json::Value to;
+    to["name"] = name;
+    to["incarnation"] = incarnation;
+    to["address"] = address.text();
+    to["data_centre"] = data_centre;
+    to["state"] = eelgrassgw::to_text(state);
+    to["heartbeat"] = Json::UInt64(heartbeat);
+    to["recovery_note"] = recovery_note;
+    return eelgrassgw::to_text(to);
+}
+
+result<router_member> router_member::from_object(const stored_object& object) {
+    const result<Json::Value> document = parse_json(object.value);
+    if (!document) {
+        return document.error();
+    }
+    const result<endpoint> address = parse_endpoint(string_member(document.value(), "address"));
+    if (!address) {
+        return address.error();
+    }
+    const result<member_state> state = member_state_from_text(string_member(document.value(), "state"));
+    if (!state) {
+        return state.error();
+    }
+    router_member router;
+    router.name = string_member(document.value(), "name");
+    router.incarnation = string_member(document.value(), "incarnation");
+    router.address = address.value();
+    router.data_centre = string_member(document.value(), "data_centre");
+    router.state = state.value();
+    router.heartbeat = static_cast<std::uint64_t>(int_member(document.value(), "heartbeat"));
+    router.recovery_note = string_member(document.value(), "recovery_note");
+    router.version = object.version;
+    return router;
+}
+
+std::string agent_key(const std::string& backend_server) {
+    return agents_prefix + backend_server;
+}
+
+std::string router_key(const std::string& incarnation) {
+    return routers_prefix + incarnation;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/membership/router_registration.cpp
@@ -0,0 +1,9 @@
+#include "eelgrassgw/membership/router_registration.h"
+
+namespace eelgrassgw {
+
+std::string heartbeat_key(const std::string& incarnation) {
+    return "heartbeats/" + incarnation;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/platform/http_object_store.cpp
@@ -0,0 +1,152 @@
+#include "eelgrassgw/platform/http_object_store.h"
+
+namespace eelgrassgw {
+
+static_assert(object_store<http_object_store>);
+
+namespace {
+
+constexpr const char* version_header = "object-version";
+constexpr const char* expected_version_header = "expected-version";
+
+http_request object_request(const char* method, const std::string& key) {
+    http_request request;
+    request.method = method;
+    request.path = "/v1/object";
+    request.query = "key=" + percent_encode(key);
+    return request;
+}
+
+object_version version_of(const http_response& response) {
+    return std::strtoull(response.header(version_header).c_str(), nullptr, 10);
+}
+
+failure unexpected_status(const http_request& request, const endpoint& api, const http_response& response) {
+    // A server error may come after the effect, so a write's outcome is then open.
+    return make_failure(errc::outcome_unknown, request.method + " " + request.path + "?" + request.query,
+                        api.text(), "status " + std::to_string(response.status));
+}
+
+failure conflict(const http_request& request, const endpoint& api, const http_response& response) {
+    return make_failure(errc::version_conflict, request.method + " " + request.query, api.text(),
+                        "the object has version " + response.header(version_header));
+}
+
+result<object_changes> to_changes(const http_response& response, const endpoint& api) {
+    const result<Json::Value> body = parse_json(response.body);
+    if (!body) {
+        return make_failure(errc::outcome_unknown, "read object list", api.text(), body.error().message);
+    }
+    object_changes changes;
+    changes.store_version = member(body.value(), "store_version").asUInt64();
+    for (const Json::Value& entry : member(body.value(), "objects")) {
+        changes.changed.push_back({string_member(entry, "key"), member(entry, "version").asUInt64(),
+                                   string_member(entry, "value")});
+    }
+    return changes;
+}
+
+} // namespace
+
+http_object_store::http_object_store(endpoint api, http_timeouts timeouts)
+    : pool_(std::move(api)), timeouts_(timeouts) {}
+
+result<http_response> http_object_store::call(http_request request, const http_timeouts& timeouts) {
+    result<http_response> response = pool_.call(request, timeouts);
+    if (!response) {
+        ++failures_;
+    }
+    return response;
+}
+
+result<std::optional<stored_object>> http_object_store::get(const std::string& key) {
+    ++gets_;
+    const http_request request = object_request("GET", key);
+    const result<http_response> response = call(request, timeouts_);
+    if (!response) {
+        return response.error();
+    }
+    if (response.value().status == 404) {
+        return std::optional<stored_object>();
+    }
+    if (response.value().status != 200) {
+        return unexpected_status(request, pool_.peer(), response.value());
+    }
+    return std::optional<stored_object>({key, version_of(response.value()), response.value().body});
+}
+
+result<object_version> http_object_store::put(const std::string& key, const std::string& value,
+                                              object_version expected) {
+    ++puts_;
+    http_request request = object_request("PUT", key);
+    request.headers[expected_version_header] = std::to_string(expected);
+    request.body = value;
+    const result<http_response> response = call(request, timeouts_);
+    if (!response) {
+        return response.error();
+    }
+    if (response.value().status == 412) {
+        return conflict(request, pool_.peer(), response.value());
+    }
+    if (response.value().status != 200) {
+        return unexpected_status(request, pool_.peer(), response.value());
+    }
+    return version_of(response.value());
+}
+
+result<done> http_object_store::remove(const std::string& key, object_version expected) {
+    ++removes_;
+    http_request request = object_request("DELETE", key);
+    request.headers[expected_version_header] = std::to_string(expected);
+    const result<http_response> response = call(request, timeouts_);
+    if (!response) {
+        return response.error();
+    }
+    if (response.value().status == 412) {
+        return conflict(request, pool_.peer(), response.value());
+    }
+    if (response.value().status != 200) {
+        return unexpected_status(request, pool_.peer(), response.value());
+    }
+    return done{};
+}
+
+result<object_changes> http_object_store::list(const std::string& prefix) {
+    ++lists_;
+    http_request request;
+    request.path = "/v1/objects";
+    request.query = "prefix=" + percent_encode(prefix);
+    const result<http_response> response = call(request, timeouts_);
+    if (!response) {
+        return response.error();
+    }
+    if (response.value().status != 200) {
+        return unexpected_status(request, pool_.peer(), response.value());
+    }
+    return to_changes(response.value(), pool_.peer());
+}
+
+result<object_changes> http_object_store::watch(const std::string& prefix, object_version since,
+                                                std::chrono::milliseconds wait) {
+    ++watches_;
+    http_request request;
+    request.path = "/v1/watch";
+    request.query = "prefix=" + percent_encode(prefix) + "&since=" + std::to_string(since) +
+                    "&wait_ms=" + std::to_string(wait.count());
+    http_timeouts timeouts = timeouts_;
+    timeouts.silence += wait;
+    const result<http_response> response = call(request, timeouts);
+    if (!response) {
+        return response.error();
+    }
+    if (response.value().status != 200) {
+        return unexpected_status(request, pool_.peer(), response.value());
+    }
+    return to_changes(response.value(), pool_.peer());
+}
+
+store_call_counts http_object_store::counts() const {
+    return {gets_, puts_, removes_, lists_, watches_, failures_};
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/router/answer_sink.cpp
@@ -0,0 +1,69 @@
+#include "eelgrassgw/router/answer_sink.h"
+
+#include "eelgrassgw/base/json.h"
+
+namespace eelgrassgw {
+
+namespace {
+
+Json::Value chunk_event(const std::string& request_id, const std::string& model) {
+    Json::Value event;
+    event["id"] = request_id;
+    event["object"] = "chat.completion.chunk";
+    event["created"] = 0;
+    event["model"] = model;
+    event["choices"] = Json::arrayValue;
+    return event;
+}
+
+} // namespace
+
+bool event_stream_sink::begin() {
+    if (begun_) {
+        return true;
+    }
+    begun_ = true;
+    return exchange_.begin_stream(200, {{"content-type", "text/event-stream"},
+                                        {"cache-control", "no-cache"},
+                                        {"x-request-id", request_id_}});
+}
+
+bool event_stream_sink::send_event(const std::string& data) {
+    return begin() && exchange_.write("data: " + data + "\n\n");
+}
+
+bool event_stream_sink::accept(const std::string& text) {
+    Json::Value event = chunk_event(request_id_, model_);
+    Json::Value choice;
+    choice["index"] = 0;
+    choice["delta"]["content"] = text;
+    choice["finish_reason"] = Json::nullValue;
+    event["choices"].append(choice);
+    event["offset"] = Json::UInt64(offset_);
+    offset_ += text.size();
+    return send_event(to_text(event));
+}
+
+void event_stream_sink::finish(const std::string& finish_reason, long long prompt_tokens,
+                               long long completion_tokens) {
+    Json::Value event = chunk_event(request_id_, model_);
+    Json::Value choice;
+    choice["index"] = 0;
+    choice["delta"] = Json::objectValue;
+    choice["finish_reason"] = finish_reason;
+    event["choices"].append(choice);
+    event["usage"]["prompt_tokens"] = Json::Int64(prompt_tokens);
+    event["usage"]["completion_tokens"] = Json::Int64(completion_tokens);
+    event["usage"]["total_tokens"] = Json::Int64(prompt_tokens + completion_tokens);
+    if (send_event(to_text(event)) && send_event("[DONE]")) {
+        exchange_.end_stream();
+    }
+}
+
+void event_stream_sink::fail(const std::string& error_json) {
+    if (send_event(error_json)) {
+        exchange_.end_stream();
+    }
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/settings/process_settings.cpp
@@ -0,0 +1,167 @@
+#include "eelgrassgw/settings/process_settings.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace eelgrassgw {
+
+namespace {
+
+constexpr std::size_t least_fleet_key_bytes = 16;
+constexpr std::int64_t hour_ms = 3600000;
+constexpr std::int64_t day_ms = 24 * hour_ms;
+
+endpoint read_endpoint(document_reader& in, const char* name) {
+    const std::string text = in.text(name);
+    const result<endpoint> parsed = parse_endpoint(text);
+    if (parsed) {
+        return parsed.value();
+    }
+    if (!text.empty()) {
+        in.report(name, "\"" + text + "\"", "<IP number>:<port 1 to 65535>");
+    }
+    return {};
+}
+
+std::vector<endpoint> read_endpoints(document_reader& in, const char* name) {
+    std::vector<endpoint> endpoints;
+    for (const std::string& text : in.texts_or_empty(name)) {
+        const result<endpoint> parsed = parse_endpoint(text);
+        if (parsed) {
+            endpoints.push_back(parsed.value());
+        } else {
+            in.report(name, "\"" + text + "\"", "a list of <IP number>:<port 1 to 65535>");
+        }
+    }
+    return endpoints;
+}
+
+log_level read_level(document_reader& in) {
+    const std::string level = in.choice_or("log_level", {"debug", "info", "warning", "error"}, "info");
+    if (level == "debug") {
+        return log_level::debug;
+    }
+    if (level == "warning") {
+        return log_level::warning;
+    }
+    return level == "error" ? log_level::error : log_level::info;
+}
+
+common_settings read_common(document_reader& in) {
+    common_settings common;
+    common.name = in.text("name");
+    common.listen = read_endpoint(in, "listen");
+    const std::string advertise = in.text_or("advertise", common.listen.text());
+    const result<endpoint> advertised = parse_endpoint(advertise);
+    common.advertise = advertised ? advertised.value() : common.listen;
+    if (!advertised && common.listen.port != 0) {
+        in.report("advertise", "\"" + advertise + "\"", "<IP number>:<port 1 to 65535>");
+    }
+    common.data_centre = in.text("data_centre");
+    common.object_api = read_endpoint(in, "object_api");
+    common.object_api_timeout =
+        in.milliseconds_or("object_api_timeout_ms", 10, 60000, common.object_api_timeout);
+    common.fleet_key = in.text("fleet_key");
+    if (!common.fleet_key.empty() && common.fleet_key.size() < least_fleet_key_bytes) {
+        in.report("fleet_key", "too short", "at least 16 bytes");
+    }
+    common.log_file = in.text_or("log_file", "");
+    common.least_level = read_level(in);
+    common.certificate_file = in.text_or("certificate_file", "");
+    common.private_key_file = in.text_or("private_key_file", "");
+    return common;
+}
+
+failure settings_failure(const std::string& file, const document_reader& in) {
+    std::string lines;
+    for (const std::string& error : in.errors()) {
+        lines += "\n  " + error;
+    }
+    return make_failure(errc::malformed, "read settings", file, lines);
+}
+
+result<Json::Value> load_document(const std::string& file) {
+    const result<std::string> text = read_file(file);
+    if (!text) {
+        return text.error();
+    }
+    const result<Json::Value> document = parse_json(text.value());
+    if (!document) {
+        return make_failure(errc::malformed, "read settings", file, document.error().message);
+    }
+    return document;
+}
+
+} // namespace
+
+result<std::string> read_file(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        return make_failure(errc::not_found, "read file", "", "file \"" + file + "\" cannot be read");
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+result<router_settings> load_router_settings(const std::string& file) {
+    const result<Json::Value> document = load_document(file);
+    if (!document) {
+        return document.error();
+    }
+    document_reader in(document.value(), file);
+    router_settings s;
+    s.common = read_common(in);
+    s.peers = read_endpoints(in, "peers");
+    s.journal_interval = in.milliseconds_or("journal_interval_ms", 10, 60000, s.journal_interval);
+    s.fold_interval = in.milliseconds_or("fold_interval_ms", 10, hour_ms, s.fold_interval);
+    s.heartbeat_interval = in.milliseconds_or("heartbeat_interval_ms", 50, 60000, s.heartbeat_interval);
+    s.suspect_after = in.milliseconds_or("suspect_after_ms", 100, hour_ms, s.suspect_after);
+    s.idle_return_after = in.milliseconds_or("idle_return_after_ms", 100, day_ms, s.idle_return_after);
+    s.drain_limit = in.milliseconds_or("drain_limit_ms", 100, hour_ms, s.drain_limit);
+    s.resolve_limit = in.milliseconds_or("resolve_limit_ms", 100, 600000, s.resolve_limit);
+    s.grant_horizon =
+        std::chrono::seconds(in.integer_or("grant_horizon_s", 1, 86400, s.grant_horizon.count()));
+    s.smallest_grant = in.integer_or("smallest_grant_tokens", 0, 1000000000, s.smallest_grant);
+    s.max_attempts = static_cast<int>(in.integer_or("max_attempts", 1, 10, s.max_attempts));
+    s.max_body_bytes = static_cast<std::size_t>(
+        in.integer_or("max_body_bytes", 1024, 1 << 28, static_cast<std::int64_t>(s.max_body_bytes)));
+    s.max_connections = static_cast<unsigned>(in.integer_or("max_connections", 8, 20000, s.max_connections));
+    if (s.suspect_after < 2 * s.heartbeat_interval) {
+        in.report("suspect_after_ms", std::to_string(s.suspect_after.count()),
+                  "at least twice heartbeat_interval_ms");
+    }
+    in.finish();
+    if (!in.errors().empty()) {
+        return settings_failure(file, in);
+    }
+    return s;
+}
+
+result<agent_settings> load_agent_settings(const std::string& file) {
+    const result<Json::Value> document = load_document(file);
+    if (!document) {
+        return document.error();
+    }
+    document_reader in(document.value(), file);
+    agent_settings s;
+    s.common = read_common(in);
+    s.is_model_engine = in.choice_or("backend_kind", {"model", "service"}, "model") == "model";
+    s.backend = read_endpoint(in, "backend");
+    s.backend_timeout = in.milliseconds_or("backend_timeout_ms", 10, hour_ms, s.backend_timeout);
+    s.max_running = static_cast<int>(in.integer_or("max_running", 1, 10000, s.max_running));
+    s.max_queued = static_cast<int>(in.integer_or("max_queued", 0, 100000, s.max_queued));
+    s.resume_window = in.milliseconds_or("resume_window_ms", 0, hour_ms, s.resume_window);
+    s.heartbeat_interval = in.milliseconds_or("heartbeat_interval_ms", 50, 60000, s.heartbeat_interval);
+    s.drain_limit = in.milliseconds_or("drain_limit_ms", 100, hour_ms, s.drain_limit);
+    s.output_retention = in.milliseconds_or("output_retention_ms", 0, hour_ms, s.output_retention);
+    s.record_retention = in.milliseconds_or("record_retention_ms", 1000, day_ms, s.record_retention);
+    s.max_connections = static_cast<unsigned>(in.integer_or("max_connections", 8, 20000, s.max_connections));
+    in.finish();
+    if (!in.errors().empty()) {
+        return settings_failure(file, in);
+    }
+    return s;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,222 @@
+#include "eelgrassgw/transport/http_client.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/net/addrinfo.h>
+
+#include <cstdlib>
+#include <istream>
+#include <mutex>
+#include <vector>
+
+namespace eelgrassgw {
+
+namespace {
+
+cxxtools::http::Request to_library_request(const http_request& from) {
+    const std::string query = from.query.empty() ? "" : "?" + from.query; // The library drops qparams().
+    cxxtools::http::Request request(percent_encode(from.path) + query);
+    request.method(from.method);
+    for (const auto& field : from.headers) {
+        request.setHeader(field.first.c_str(), field.second.c_str());
+    }
+    request.body() << from.body;
+    return request;
+}
+
+cxxtools::Milliseconds to_library_time(std::chrono::milliseconds time) {
+    return cxxtools::Milliseconds(static_cast<double>(time.count()));
+}
+
+failure unknown_outcome(const endpoint& peer, const http_request& request, const std::string& why) {
+    return make_failure(errc::outcome_unknown, request.method + " " + request.path, peer.text(), why);
+}
+
+result<done> connect_client(cxxtools::http::Client& client, const endpoint& peer,
+                            const http_request& request) {
+    try {
+        client.connect();
+        return done{};
+    } catch (const std::exception& e) {
+        return make_failure(errc::unreachable, "connect for " + request.method + " " + request.path,
+                            peer.text(), e.what());
+    }
+}
+
+std::string header_of(const cxxtools::http::Client& client, const std::string& name) {
+    const char* value = client.header().getHeader(name.c_str());
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+http_response whole_response(cxxtools::http::Client& client) {
+    http_response response;
+    response.body = client.readBody().body();
+    response.status = static_cast<int>(client.header().httpReturnCode());
+    for (const auto& field : client.header()) {
+        std::string name = field.first;
+        for (char& c : name) {
+            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        }
+        if (!name.empty() && name.back() == ':') {
+            name.pop_back();
+        }
+        response.headers[name] = field.second;
+    }
+    return response;
+}
+
+bool is_shorter_than_announced(const http_response& response) {
+    const std::string length = response.header("content-length");
+    return !length.empty() && response.body.size() < std::strtoull(length.c_str(), nullptr, 10);
+}
+
+class client_stream final : public http_stream {
+public:
+    client_stream(const endpoint& peer) : client_(peer.address, peer.port) {}
+
+    cxxtools::http::Client& client() { return client_; }
+
+    int status() const override { return static_cast<int>(client_.header().httpReturnCode()); }
+
+    std::string header(const std::string& name) const override { return header_of(client_, name); }
+
+    bool read_line(std::string& line) override {
+        try {
+            return static_cast<bool>(std::getline(client_.in(), line)) && !client_.in().eof();
+        } catch (const std::exception&) {
+            return false;
+        }
+    }
+
+    std::string read_rest() override {
+        try {
+            return client_.readBody().body();
+        } catch (const std::exception&) {
+            return {};
+        }
+    }
+
+private:
+    cxxtools::http::Client client_;
+};
+
+} // namespace
+
+std::string endpoint::text() const {
+    return address + ":" + std::to_string(port);
+}
+
+result<endpoint> parse_endpoint(const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    const long port = colon == std::string::npos ? 0 : std::strtol(text.c_str() + colon + 1, nullptr, 10);
+    if (port < 1 || port > 65535 || colon == 0) {
+        return make_failure(errc::malformed, "read address", "",
+                            "\"" + text + "\" is not of the form <IP number>:<port 1 to 65535>");
+    }
+    return endpoint{text.substr(0, colon), static_cast<unsigned short>(port)};
+}
+
+result<std::unique_ptr<http_stream>> open_http_stream(const endpoint& peer, const http_request& request,
+                                                      const http_timeouts& timeouts) {
+    auto stream = std::make_unique<client_stream>(peer);
+    const result<done> connected = connect_client(stream->client(), peer, request);
+    if (!connected) {
+        return connected.error();
+    }
+    try {
+        stream->client().execute(to_library_request(request), to_library_time(timeouts.silence),
+                                 to_library_time(timeouts.connect));
+    } catch (const std::exception& e) {
+        return unknown_outcome(peer, request, e.what());
+    }
+    return std::unique_ptr<http_stream>(std::move(stream));
+}
+
+result<http_response> call_http(const endpoint& peer, const http_request& request,
+                                const http_timeouts& timeouts) {
+    cxxtools::http::Client client(peer.address, peer.port);
+    const result<done> connected = connect_client(client, peer, request);
+    if (!connected) {
+        return connected.error();
+    }
+    try {
+        client.execute(to_library_request(request), to_library_time(timeouts.silence),
+                       to_library_time(timeouts.connect));
+        http_response response = whole_response(client);
+        if (is_shorter_than_announced(response)) {
+            return unknown_outcome(peer, request, "the reply's body was cut off");
+        }
+        return response;
+    } catch (const std::exception& e) {
+        return unknown_outcome(peer, request, e.what());
+    }
+}
+
+class http_connection_pool::impl {
+public:
+    explicit impl(endpoint peer) : peer_(std::move(peer)) {}
+
+    const endpoint& peer() const { return peer_; }
+
+    result<http_response> call(const http_request& request, const http_timeouts& timeouts) {
+        std::unique_ptr<cxxtools::http::Client> client = take();
+        if (client == nullptr) {
+            client = std::make_unique<cxxtools::http::Client>(peer_.address, peer_.port);
+            const result<done> connected = connect_client(*client, peer_, request);
+            if (!connected) {
+                return connected.error();
+            }
+        }
+        try {
+            client->execute(to_library_request(request), to_library_time(timeouts.silence),
+                            to_library_time(timeouts.connect));
+            http_response response = whole_response(*client);
+            if (is_shorter_than_announced(response)) {
+                return unknown_outcome(peer_, request, "the reply's body was cut off");
+            }
+            put_back(std::move(client));
+            return response;
+        } catch (const std::exception& e) {
+            return unknown_outcome(peer_, request, e.what());
+        }
+    }
+
+private:
+    static constexpr std::size_t max_kept_connections = 16;
+
+    std::unique_ptr<cxxtools::http::Client> take() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (kept_.empty()) {
+            return nullptr;
+        }
+        auto client = std::move(kept_.back());
+        kept_.pop_back();
+        return client;
+    }
+
+    void put_back(std::unique_ptr<cxxtools::http::Client> client) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (kept_.size() < max_kept_connections) {
+            kept_.push_back(std::move(client));
+        }
+    }
+
+    endpoint peer_;
+    std::mutex mutex_;
+    std::vector<std::unique_ptr<cxxtools::http::Client>> kept_;
+};
+
+http_connection_pool::http_connection_pool(endpoint peer) : impl_(std::make_unique<impl>(std::move(peer))) {}
+
+http_connection_pool::~http_connection_pool() = default;
+
+result<http_response> http_connection_pool::call(const http_request& request, const http_timeouts& timeouts) {
+    return impl_->call(request, timeouts);
+}
+
+const endpoint& http_connection_pool::peer() const {
+    return impl_->peer();
+}
+
+} // namespace eelgrassgw
