--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -276,6 +276,7 @@
                 chunk["type"] = "chunk";
                 chunk["offset"] = Json::UInt64(offset);
                 chunk["text"] = progress.text;
+                failpoint("agent_chunk");
                 reading = exchange.write(to_text(chunk) + "\n");
                 offset += progress.text.size();
             }
--- a/include/eelgrassgw/ledger/ledger_client.h
+++ b/include/eelgrassgw/ledger/ledger_client.h
@@ -253,10 +253,11 @@
     }
 
     result<done> write(shard_state& state, ledger_shard next) {
-        failpoint("ledger_before_write");
+        const bool is_return = state.returning.amount > 0;
+        failpoint(is_return ? "return_before_write" : (state.unfolded.empty() ? "grant_before_write" : "fold_before_write"));
         const std::string key = ledger_key(number_of(state));
         const result<object_version> written = store_.put(key, next.to_text(), state.version);
-        failpoint("ledger_after_write");
+        failpoint(is_return ? "return_after_write" : (state.unfolded.empty() ? "grant_after_write" : "fold_after_write"));
         if (written) {
             state.shard = std::move(next);
             state.version = written.value();
--- a/include/eelgrassgw/router/agent_call.h
+++ b/include/eelgrassgw/router/agent_call.h
@@ -2,6 +2,7 @@
 
 /// One ticket sent to one agent, and everything that can become of it.
 
+#include "eelgrassgw/base/failpoint.h"
 #include "eelgrassgw/membership/member.h"
 #include "eelgrassgw/run/run_outcome.h"
 #include "eelgrassgw/run/ticket.h"
@@ -135,6 +136,7 @@
             if (!apply_agent_line(line, agent.incarnation, position, text)) {
                 return;
             }
+            failpoint(position.ended ? "router_end_marker" : (text.empty() ? "router_wait" : "router_chunk"));
             const bool alive = text.empty() ? sink.is_alive() : sink.accept(text);
             if (!alive) {
                 position.caller_gone = true;
--- a/include/eelgrassgw/router/dispatcher.h
+++ b/include/eelgrassgw/router/dispatcher.h
@@ -146,6 +146,7 @@
     static constexpr std::size_t max_kept_answer_bytes = 64U << 10U;
 
     bool reserve(Session& session, const work_order& order, dispatch_result& outcome) {
+        failpoint("router_admission");
         result<done> reserved = session.reserve(order.work.budget, order.work.reserved);
         if (reserved.failed_with(errc::budget_exhausted) &&
             port_.reclaim(order.work.budget, order.work.reserved)) {
@@ -229,6 +230,7 @@
     void finish(const std::shared_ptr<Session>& session, const ticket& t, const agent_member& agent,
                 const call_result& sent, dispatch_result& outcome) {
         const billing_record record = make_record(t, sent.outcome, false);
+        failpoint("router_settle");
         if (sent.is_own_run) {
             session->settle(record, t.reserved);
         } else {
--- a/include/eelgrassgw/transport/http_message.h
+++ b/include/eelgrassgw/transport/http_message.h
@@ -19,6 +19,7 @@
     header_fields headers;
     std::string body;
     std::string peer;            ///< Address of the sender; set on the server's side.
+    std::string failpoint_name;  ///< Of the failpoint that guards the sending, in test builds.
     bool body_too_large = false; ///< The body was over the server's limit and was not kept.
 
     /// The field `name` (lower case), or an empty string.
--- a/src/base/failpoint.cpp
+++ b/src/base/failpoint.cpp
@@ -1,6 +1,7 @@
 #include "eelgrassgw/base/failpoint.h"
 
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <mutex>
@@ -14,6 +15,7 @@
 struct armed_failpoint {
     std::string action;
     int fires_at_pass = 0; ///< 0: at every pass.
+    bool fires_afterwards = false;
     int passes = 0;
 };
 
@@ -27,6 +29,21 @@
     return instance;
 }
 
+failpoint_action action_from_text(const std::string& text) {
+    static const std::map<std::string, failpoint_action> actions = {
+        {"skip", failpoint_action::skip},
+        {"error", failpoint_action::error},
+        {"unreachable", failpoint_action::unreachable},
+        {"lose_request", failpoint_action::lose_request},
+        {"lose_answer", failpoint_action::lose_answer},
+        {"late", failpoint_action::late},
+        {"twice", failpoint_action::twice},
+        {"slow", failpoint_action::slow},
+    };
+    const auto it = actions.find(text);
+    return it == actions.end() ? failpoint_action::none : it->second;
+}
+
 std::string action_at(const char* name) {
     failpoint_table& points = table();
     const std::lock_guard<std::mutex> lock(points.mutex);
@@ -35,8 +52,10 @@
         return {};
     }
     ++it->second.passes;
-    const bool fires = it->second.fires_at_pass == 0 || it->second.fires_at_pass == it->second.passes;
-    return fires ? it->second.action : std::string();
+    const armed_failpoint& point = it->second;
+    const bool fires = point.fires_at_pass == 0 || point.fires_at_pass == point.passes ||
+                       (point.fires_afterwards && point.passes > point.fires_at_pass);
+    return fires ? point.action : std::string();
 }
 
 } // namespace
@@ -45,16 +64,16 @@
 
 failpoint_action hit_failpoint(const char* name) {
     const std::string action = action_at(name);
+    if (!action.empty()) {
+        std::fprintf(stderr, "failpoint %s=%s\n", name, action.c_str());
+    }
     if (action == "exit") {
         ::kill(::getpid(), SIGKILL);
     }
     if (action == "freeze") {
         ::kill(::getpid(), SIGSTOP);
     }
-    if (action == "skip") {
-        return failpoint_action::skip;
-    }
-    return action == "error" ? failpoint_action::error : failpoint_action::none;
+    return action_from_text(action);
 }
 
 } // namespace internal
@@ -73,6 +92,7 @@
         const std::size_t colon = entry.find(':', equals);
         point.action = entry.substr(equals + 1, colon == std::string::npos ? colon : colon - equals - 1);
         point.fires_at_pass = colon == std::string::npos ? 0 : std::atoi(entry.c_str() + colon + 1);
+        point.fires_afterwards = entry.ends_with('+');
         points.armed[entry.substr(0, equals)] = point;
     }
 }
--- a/src/ctl/eelgrassctl.cpp
+++ b/src/ctl/eelgrassctl.cpp
@@ -1,10 +1,12 @@
 /// eelgrassctl: the tool of operators and auditors.
 
 #include "command.h"
+#include "eelgrassgw/base/failpoint.h"
 
 #include <gflags/gflags.h>
 
 #include <array>
+#include <cstdlib>
 #include <iostream>
 
 DEFINE_string(object_api, "127.0.0.1:8500", "address and port of the platform's object API");
@@ -96,6 +98,8 @@
 int main(int argc, char** argv) {
     gflags::SetUsageMessage("COMMAND [flags]; \"eelgrassctl help\" lists the commands");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const char* failpoints = std::getenv("EELGRASSGW_FAILPOINTS");
+    eelgrassgw::arm_failpoints(failpoints == nullptr ? "" : failpoints);
     const std::string name = argc > 1 ? argv[1] : "help";
     if (name == "help") {
         return eelgrassgw::ctl::print_help();
--- a/src/journal/journal_segment.cpp
+++ b/src/journal/journal_segment.cpp
@@ -131,6 +131,7 @@
         sum.withheld += record.withheld;
     }
     std::vector<budget_spend> spends;
+    spends.reserve(sums.size());
     for (const auto& [name, sum] : sums) {
         spends.push_back(sum);
     }
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -14,6 +14,7 @@
     request.method = method;
     request.path = "/v1/object";
     request.query = "key=" + percent_encode(key);
+    request.failpoint_name = std::string("store_") + method + "_" + key.substr(0, key.find('/'));
     return request;
 }
 
@@ -115,6 +116,7 @@
     ++lists_;
     http_request request;
     request.path = "/v1/objects";
+    request.failpoint_name = "store_LIST_" + prefix.substr(0, prefix.find('/'));
     request.query = "prefix=" + percent_encode(prefix);
     const result<http_response> response = call(request, timeouts_);
     if (!response) {
@@ -131,6 +133,7 @@
     ++watches_;
     http_request request;
     request.path = "/v1/watch";
+    request.failpoint_name = "store_WATCH_" + prefix.substr(0, prefix.find('/'));
     request.query = "prefix=" + percent_encode(prefix) + "&since=" + std::to_string(since) +
                     "&wait_ms=" + std::to_string(wait.count());
     http_timeouts timeouts = timeouts_;
--- a/src/router/agent_call.cpp
+++ b/src/router/agent_call.cpp
@@ -60,6 +60,7 @@
     request.path = "/tickets";
     request.headers["content-type"] = "application/json";
     request.body = to_text(t.to_json());
+    request.failpoint_name = "send_ticket";
     sign_request(request, fleet_key_);
     return open_http_stream(agent.address, request, stream_timeouts);
 }
@@ -68,6 +69,7 @@
 agent_caller::open_run(const agent_member& agent, const std::string& request_id, std::size_t offset) const {
     http_request request;
     request.path = "/runs";
+    request.failpoint_name = "attach_run";
     request.query = "id=" + percent_encode(request_id) + "&offset=" + std::to_string(offset);
     sign_request(request, fleet_key_);
     return open_http_stream(agent.address, request, stream_timeouts);
--- a/src/transport/fleet_peer.cpp
+++ b/src/transport/fleet_peer.cpp
@@ -35,6 +35,7 @@
         request.method = "POST";
         request.path = rpc_path;
         request.body = message;
+        request.failpoint_name = "rpc_" + name;
         sign_request(request, fleet_key);
         const result<http_response> reply = call_http(peer, request, timeouts);
         if (!reply) {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassgw/transport/http_client.h"
 
+#include "eelgrassgw/base/failpoint.h"
+
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
@@ -8,12 +10,47 @@
 #include <cstdlib>
 #include <istream>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 namespace eelgrassgw {
 
 namespace {
 
+constexpr std::chrono::milliseconds fault_delay{1500};
+
+/// Sends through `send`, as the failpoint of `request` orders. `T` is the type of the answer.
+template <class T, class Send>
+result<T> send_with_faults(const endpoint& peer, const http_request& request, Send send) {
+    const failpoint_action action =
+        request.failpoint_name.empty() ? failpoint_action::none : failpoint(request.failpoint_name.c_str());
+    const std::string step = request.method + " " + request.path;
+    const auto lost = [&] { return make_failure(errc::outcome_unknown, step, peer.text(), "failpoint"); };
+    switch (action) {
+    case failpoint_action::unreachable:
+        return make_failure(errc::unreachable, step, peer.text(), "failpoint");
+    case failpoint_action::lose_request:
+        return lost();
+    case failpoint_action::lose_answer:
+        (void)send();
+        return lost();
+    case failpoint_action::late:
+        std::thread([send] {
+            std::this_thread::sleep_for(fault_delay);
+            (void)send();
+        }).detach();
+        return lost();
+    case failpoint_action::twice:
+        std::thread([send] { (void)send(); }).detach();
+        return send();
+    case failpoint_action::slow:
+        std::this_thread::sleep_for(fault_delay);
+        return send();
+    default:
+        return send();
+    }
+}
+
 cxxtools::http::Request to_library_request(const http_request& from) {
     const std::string query = from.query.empty() ? "" : "?" + from.query; // The library drops qparams().
     cxxtools::http::Request request(percent_encode(from.path) + query);
@@ -117,7 +154,9 @@
     return endpoint{text.substr(0, colon), static_cast<unsigned short>(port)};
 }
 
-result<std::unique_ptr<http_stream>> open_http_stream(const endpoint& peer, const http_request& request,
+namespace {
+
+result<std::unique_ptr<http_stream>> open_stream_once(const endpoint& peer, const http_request& request,
                                                       const http_timeouts& timeouts) {
     auto stream = std::make_unique<client_stream>(peer);
     const result<done> connected = connect_client(stream->client(), peer, request);
@@ -133,8 +172,7 @@
     return std::unique_ptr<http_stream>(std::move(stream));
 }
 
-result<http_response> call_http(const endpoint& peer, const http_request& request,
-                                const http_timeouts& timeouts) {
+result<http_response> call_once(const endpoint& peer, const http_request& request, const http_timeouts& timeouts) {
     cxxtools::http::Client client(peer.address, peer.port);
     const result<done> connected = connect_client(client, peer, request);
     if (!connected) {
@@ -153,6 +191,18 @@
     }
 }
 
+} // namespace
+
+result<std::unique_ptr<http_stream>> open_http_stream(const endpoint& peer, const http_request& request,
+                                                      const http_timeouts& timeouts) {
+    return send_with_faults<std::unique_ptr<http_stream>>(
+        peer, request, [=] { return open_stream_once(peer, request, timeouts); });
+}
+
+result<http_response> call_http(const endpoint& peer, const http_request& request, const http_timeouts& timeouts) {
+    return send_with_faults<http_response>(peer, request, [=] { return call_once(peer, request, timeouts); });
+}
+
 class http_connection_pool::impl {
 public:
     explicit impl(endpoint peer) : peer_(std::move(peer)) {}
@@ -212,7 +262,7 @@
 http_connection_pool::~http_connection_pool() = default;
 
 result<http_response> http_connection_pool::call(const http_request& request, const http_timeouts& timeouts) {
-    return impl_->call(request, timeouts);
+    return send_with_faults<http_response>(peer(), request, [=] { return impl_->call(request, timeouts); });
 }
 
 const endpoint& http_connection_pool::peer() const {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -224,6 +224,9 @@
         thread_ = std::thread([this] { loop_.run(); });
     }
 
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
     ~impl() {
         loop_.exit();
         thread_.join();
--- a/test/fakes/memory_object_store.h
+++ b/test/fakes/memory_object_store.h
@@ -37,8 +37,9 @@
                 return down_failure();
             }
         }
-        if (before_put) {
-            before_put(key);
+        const auto hook = before_put; // A copy, since the hook may replace itself.
+        if (hook) {
+            hook(key);
         }
         const std::lock_guard lock(mutex_);
         const write_fault fault = std::exchange(next_write, write_fault::none);
--- a/test/stand_ins/fault_proxy.cpp
+++ b/test/stand_ins/fault_proxy.cpp
@@ -85,7 +85,9 @@
         const int on = 1;
         ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         const sockaddr_in address = to_sockaddr(listen_);
-        ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+            std::perror("fault_proxy: bind");
+        }
         ::listen(fd, 512);
         return fd;
     }
--- /dev/null
+++ b/test/system/checker.cpp
@@ -0,0 +1,350 @@
+#include "test/system/checker.h"
+
+#include "test/stand_ins/stand_in_answer.h"
+
+#include <fstream>
+
+namespace eelgrassgw::test {
+
+namespace {
+
+constexpr tokens booking_price = 5;
+
+Json::Value get_json(const endpoint& from, const std::string& path) {
+    http_request request;
+    request.path = path.substr(0, path.find('?'));
+    request.query = path.find('?') == std::string::npos ? "" : path.substr(path.find('?') + 1);
+    const result<http_response> reply = call_http(from, request, http_timeouts{});
+    const result<Json::Value> body =
+        reply ? parse_json(reply.value().body) : result<Json::Value>(reply.error());
+    return body ? body.value() : Json::Value();
+}
+
+/// Objects under a prefix, by key.
+std::map<std::string, Json::Value> list_objects(const fleet& target, const std::string& prefix) {
+    std::map<std::string, Json::Value> found;
+    const Json::Value listed = get_json(target.object_api(), "/v1/objects?prefix=" + prefix);
+    for (const Json::Value& entry : member(listed, "objects")) {
+        found[string_member(entry, "key")] = parse_json(string_member(entry, "value")).value();
+    }
+    return found;
+}
+
+std::set<std::string> open_router_incarnations(const fleet& target) {
+    std::set<std::string> open;
+    for (const auto& [key, entry] : list_objects(target, "routers/")) {
+        if (string_member(entry, "state") != "closed") {
+            open.insert(string_member(entry, "incarnation"));
+        }
+    }
+    return open;
+}
+
+std::string what_is_not_at_rest(const fleet& target) {
+    std::size_t running = 0;
+    for (const process_info& router : target.processes("router")) {
+        if (!target.is_running(router.name)) {
+            continue;
+        }
+        ++running;
+        if (target.metric(router.name, "unsettled_tickets") != 0) {
+            return router.name + " has unsettled tickets";
+        }
+        if (target.metric(router.name, "requests_in_flight") != 0) {
+            return router.name + " has requests in flight";
+        }
+        if (target.metric(router.name, "journal_lag_records") != 0) {
+            return router.name + " has records to journal";
+        }
+    }
+    const std::size_t open = open_router_incarnations(target).size();
+    if (open != running) {
+        return std::to_string(open) + " routers are open, " + std::to_string(running) + " run";
+    }
+    const command_result audit = target.control({"audit", "--json"});
+    const result<Json::Value> report = parse_json(audit.output);
+    if (!report) {
+        return "the audit cannot be read: " + audit.output;
+    }
+    for (const Json::Value& budget : member(report.value(), "budgets")) {
+        if (budget["not_yet_folded"].asInt64() != 0) {
+            return "budget " + string_member(budget, "budget") + " has tokens to fold";
+        }
+    }
+    return "";
+}
+
+} // namespace
+
+std::string wait_for_rest(const fleet& target, std::chrono::milliseconds longest) {
+    std::string waiting;
+    (void)wait_until([&] { return (waiting = what_is_not_at_rest(target)).empty(); }, longest);
+    return waiting;
+}
+
+checker::checker(const fleet& target, const std::vector<observation>& seen) : fleet_(target), seen_(seen) {
+    read_engines();
+    read_services();
+    read_history();
+    read_audit();
+}
+
+void checker::read_engines() {
+    for (const process_info& engine : fleet_.processes("engine")) {
+        for (const Json::Value& entry : get_json(engine.address, "/v1/runs")) {
+            const std::string id = string_member(entry, "request_id");
+            const std::size_t dot = id.rfind('.');
+            engine_run run;
+            run.request_id = id.substr(0, dot);
+            run.attempt = std::atoi(id.c_str() + dot + 1);
+            run.prompt = string_member(entry, "prompt");
+            run.prompt_tokens = entry["prompt_tokens"].asInt64();
+            run.generated = entry["completion_tokens"].asInt64();
+            runs_.push_back(run);
+        }
+    }
+}
+
+void checker::read_services() {
+    for (const process_info& service : fleet_.processes("service")) {
+        const Json::Value effects = get_json(service.address, "/effects");
+        for (const std::string& key : effects.getMemberNames()) {
+            effects_[key] += effects[key].asInt();
+        }
+    }
+}
+
+void checker::read_history() {
+    std::ifstream in(fleet_.path("history.jsonl"));
+    std::string line;
+    while (std::getline(in, line)) {
+        const result<Json::Value> parsed = parse_json(line);
+        if (parsed) {
+            read_history_line(parsed.value());
+        }
+    }
+}
+
+void checker::read_history_line(const Json::Value& line) {
+    const std::string key = string_member(line, "key");
+    const result<Json::Value> value = parse_json(string_member(line, "value"));
+    if (!value || bool_member(line, "deleted")) {
+        current_.erase(key);
+        return;
+    }
+    current_[key] = value.value();
+    if (key.starts_with("ledger/")) {
+        ledger_versions_.push_back(value.value());
+    }
+    if (key == "configuration/current") {
+        revisions_.push_back(int_member(value.value(), "revision"));
+    }
+    if (key.starts_with("journal/")) {
+        for (const Json::Value& entry : member(value.value(), "records")) {
+            bills_.push_back({string_member(entry, "request_id"), static_cast<int>(int_member(entry, "attempt", 1)),
+                              int_member(entry, "billed"), int_member(entry, "withheld")});
+        }
+    }
+}
+
+void checker::read_audit() {
+    const command_result audit = fleet_.control({"audit", "--json"});
+    const result<Json::Value> report = parse_json(audit.output);
+    audit_exit_ = audit.exit_code;
+    audit_ = report ? report.value() : Json::Value(Json::objectValue);
+}
+
+std::vector<std::string> checker::violations() {
+    violations_.clear();
+    check_no_overspend();
+    check_history_of_ledger();
+    check_billed_once();
+    check_bills_match_engines();
+    check_answers();
+    check_refusals();
+    check_bookings();
+    check_revisions();
+    check_holders();
+    return violations_;
+}
+
+void checker::check_no_overspend() {
+    tokens used = 0;
+    for (const engine_run& run : runs_) {
+        used += run.prompt_tokens + run.generated;
+    }
+    for (const auto& [key, count] : effects_) {
+        used += count * booking_price;
+    }
+    tokens paid = 0;
+    tokens accounted = 0;
+    for (const Json::Value& budget : audit_["budgets"]) {
+        paid += budget["paid"].asInt64();
+        accounted += budget["settled"].asInt64() + budget["withheld"].asInt64();
+    }
+    if (used > paid) {
+        add("overspend: back ends used " + std::to_string(used) + " tokens, paid are " + std::to_string(paid));
+    }
+    if (used > accounted) {
+        add("unaccounted: back ends used " + std::to_string(used) + " tokens, settled and withheld are " +
+            std::to_string(accounted));
+    }
+    if (audit_exit_ != 0) {
+        add("the audit found differences: " + to_text(audit_["differences"]));
+    }
+}
+
+void checker::check_history_of_ledger() {
+    for (const Json::Value& version : ledger_versions_) {
+        std::map<std::string, tokens> held;
+        for (const Json::Value& holder : member(version, "holders")) {
+            for (const std::string& budget : holder["allowances"].getMemberNames()) {
+                held[budget] += holder["allowances"][budget].asInt64();
+            }
+        }
+        for (const std::string& name : version["budgets"].getMemberNames()) {
+            const Json::Value& budget = version["budgets"][name];
+            const tokens taken = budget["settled"].asInt64() + budget["withheld"].asInt64() + held[name];
+            if (taken > budget["paid"].asInt64()) {
+                add("a version of the ledger gives out " + std::to_string(taken) + " tokens of budget " + name);
+            }
+        }
+    }
+}
+
+void checker::check_billed_once() {
+    std::map<std::string, int> bills_by_id;
+    for (const recorded_bill& bill : bills_) {
+        bills_by_id[bill.request_id] += bill.billed > 0 ? 1 : 0;
+    }
+    for (const auto& [id, count] : bills_by_id) {
+        if (count > 1) {
+            add("request " + id + " is billed " + std::to_string(count) + " times");
+        }
+    }
+    for (const observation& o : seen_) {
+        if (o.whole && bills_by_id[o.request_id] != 1) {
+            add("request " + o.request_id + " (" + o.kind + ") was answered and is billed " +
+                std::to_string(bills_by_id[o.request_id]) + " times");
+        }
+    }
+}
+
+void checker::check_bills_match_engines() {
+    for (const recorded_bill& bill : bills_) {
+        tokens used = -1;
+        for (const engine_run& run : runs_) {
+            if (run.request_id == bill.request_id && run.attempt == bill.attempt) {
+                used = run.prompt_tokens + run.generated;
+            }
+        }
+        const bool is_chat = used >= 0;
+        if (is_chat && bill.billed > used) {
+            add("request " + bill.request_id + " is billed " + std::to_string(bill.billed) + " tokens, its engine used " +
+                std::to_string(used));
+        }
+        if (is_chat && bill.billed + bill.withheld < used) {
+            add("request " + bill.request_id + " is billed " + std::to_string(bill.billed) + " and withheld " +
+                std::to_string(bill.withheld) + " tokens, its engine used " + std::to_string(used));
+        }
+        const bool is_booking = effects_.contains(bill.request_id);
+        if (is_booking && bill.billed + bill.withheld != booking_price * effects_[bill.request_id]) {
+            add("booking " + bill.request_id + " is billed " + std::to_string(bill.billed) + " tokens");
+        }
+    }
+}
+
+void checker::check_answers() {
+    for (const observation& o : seen_) {
+        if (o.kind != "chat" || o.status != 200) {
+            continue;
+        }
+        const tokens limit = 256;
+        const tokens length = std::min(stand_in::answer_length(o.prompt), limit);
+        const std::string expected = stand_in::answer_text(o.prompt, length);
+        if (o.whole && o.text != expected) {
+            add("request " + o.request_id + " got \"" + o.text + "\", its answer is \"" + expected + "\"");
+        }
+        if (!o.whole && !expected.starts_with(o.text)) {
+            add("request " + o.request_id + " got a part that is not of its answer: \"" + o.text + "\"");
+        }
+    }
+}
+
+void checker::check_refusals() {
+    std::map<std::string, bool> all_say_no;
+    for (const observation& o : seen_) {
+        const bool says_no = o.ran == "no" && !o.request_id.empty();
+        const auto it = all_say_no.try_emplace(o.request_id, true).first;
+        it->second = it->second && says_no;
+    }
+    for (const engine_run& run : runs_) {
+        const auto it = all_say_no.find(run.request_id);
+        if (it != all_say_no.end() && it->second && run.generated > 0) {
+            add("request " + run.request_id + " was refused as not run, and ran");
+        }
+    }
+    for (const auto& [id, count] : effects_) {
+        const auto it = all_say_no.find(id);
+        if (it != all_say_no.end() && it->second) {
+            add("booking " + id + " was refused as not run, and ran");
+        }
+    }
+}
+
+void checker::check_bookings() {
+    for (const auto& [id, count] : effects_) {
+        if (count > 1) {
+            add("booking " + id + " took effect " + std::to_string(count) + " times");
+        }
+    }
+    for (const observation& o : seen_) {
+        if (o.kind == "book" && o.whole && !effects_.contains(o.request_id)) {
+            add("booking " + o.request_id + " was confirmed and never took effect");
+        }
+    }
+}
+
+void checker::check_revisions() {
+    for (std::size_t i = 1; i < revisions_.size(); ++i) {
+        if (revisions_[i] <= revisions_[i - 1]) {
+            add("the accepted revision went from " + std::to_string(revisions_[i - 1]) + " to " +
+                std::to_string(revisions_[i]));
+        }
+    }
+    for (const process_info& router : fleet_.processes("router")) {
+        std::ifstream in(router.log);
+        std::string line;
+        std::int64_t last = 0;
+        while (std::getline(in, line)) {
+            const result<Json::Value> event = parse_json(line);
+            const std::string name = event ? string_member(event.value(), "event") : "";
+            if (name == "configuration_in_force") {
+                const std::int64_t revision = int_member(event.value(), "revision");
+                if (revision < last) {
+                    add(router.name + " went from revision " + std::to_string(last) + " to " +
+                        std::to_string(revision));
+                }
+                last = revision;
+            }
+        }
+    }
+}
+
+void checker::check_holders() {
+    for (const auto& [key, value] : current_) {
+        if (!key.starts_with("ledger/")) {
+            continue;
+        }
+        for (const std::string& holder : value["holders"].getMemberNames()) {
+            const auto entry = current_.find("routers/" + holder);
+            const std::string state = entry == current_.end() ? "closed" : string_member(entry->second, "state");
+            const bool has_reason = state == "sealed" && !string_member(entry->second, "recovery_note").empty();
+            if (state != "live" && !has_reason) {
+                add("router " + holder + " is " + state + " and still holds allowances, with no reason given");
+            }
+        }
+    }
+}
+
+} // namespace eelgrassgw::test
--- /dev/null
+++ b/test/system/fleet.cpp
@@ -0,0 +1,235 @@
+#include "test/system/fleet.h"
+
+#include "eelgrassgw/settings/process_settings.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace eelgrassgw::test {
+
+namespace {
+
+const std::string failpoints_variable = "EELGRASSGW_FAILPOINTS=";
+
+int spawn(const std::vector<std::string>& command, const std::vector<std::string>& environment,
+          const std::string& output_file) {
+    std::vector<char*> arguments;
+    for (const std::string& argument : command) {
+        arguments.push_back(const_cast<char*>(argument.c_str()));
+    }
+    arguments.push_back(nullptr);
+    std::vector<char*> variables;
+    for (char** it = environ; *it != nullptr; ++it) {
+        variables.push_back(*it);
+    }
+    for (const std::string& entry : environment) {
+        variables.push_back(const_cast<char*>(entry.c_str()));
+    }
+    variables.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file.c_str(), O_CREAT | O_WRONLY | O_APPEND,
+                                     0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid = -1;
+    if (posix_spawnp(&pid, arguments[0], &actions, nullptr, arguments.data(), variables.data()) != 0) {
+        pid = -1;
+    }
+    posix_spawn_file_actions_destroy(&actions);
+    return pid;
+}
+
+std::string new_directory() {
+    static std::atomic<int> number{0};
+    const std::string name = std::string(BUILD_DIR) + "/fleets/" + std::to_string(::getpid()) + "-" +
+                             std::to_string(++number);
+    std::filesystem::create_directories(name);
+    return name;
+}
+
+std::string local_fleet_script() {
+    return std::string(SOURCE_DIR) + "/scripts/local-fleet";
+}
+
+} // namespace
+
+command_result run_program(const std::vector<std::string>& command, const std::vector<std::string>& environment) {
+    static std::atomic<int> number{0};
+    const std::string output_file =
+        std::string(BUILD_DIR) + "/output-" + std::to_string(::getpid()) + "-" + std::to_string(++number);
+    const int pid = spawn(command, environment, output_file);
+    command_result outcome;
+    int status = 0;
+    if (pid > 0 && ::waitpid(pid, &status, 0) == pid && WIFEXITED(status)) {
+        outcome.exit_code = WEXITSTATUS(status);
+    }
+    const result<std::string> output = read_file(output_file);
+    outcome.output = output ? output.value() : "";
+    std::filesystem::remove(output_file);
+    return outcome;
+}
+
+bool wait_until(const std::function<bool()>& holds, std::chrono::milliseconds longest) {
+    constexpr std::chrono::milliseconds pause{25};
+    const auto limit = std::chrono::steady_clock::now() + longest;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return true;
+}
+
+fleet::fleet(const std::vector<std::string>& arguments) : directory_(new_directory()) {
+    std::vector<std::string> command = {local_fleet_script(), "up", directory_, "--build=" + std::string(BUILD_DIR)};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    const command_result started = run_program(command);
+    const result<std::string> text = read_file(path("fleet.json"));
+    if (started.exit_code != 0 || !text) {
+        std::fprintf(stderr, "local-fleet up failed: %s\n", started.output.c_str());
+        return;
+    }
+    description_ = parse_json(text.value()).value();
+    for (const Json::Value& entry : description_["processes"]) {
+        process_info info;
+        info.role = string_member(entry, "role");
+        info.name = string_member(entry, "name");
+        info.pid = entry["pid"].asInt();
+        info.address = parse_endpoint(string_member(entry, "address")).value();
+        info.log = string_member(entry, "log");
+        for (const Json::Value& word : entry["command"]) {
+            info.command.push_back(word.asString());
+        }
+        processes_.push_back(std::move(info));
+    }
+    up_ = true;
+}
+
+fleet::~fleet() {
+    if (stopped_) {
+        return;
+    }
+    for (const process_info& entry : processes_) {
+        send_signal(entry.name, SIGKILL);
+    }
+}
+
+int fleet::down() {
+    stopped_ = true;
+    return run_program({local_fleet_script(), "down", directory_}).exit_code;
+}
+
+const process_info& fleet::process(const std::string& name) const {
+    for (const process_info& entry : processes_) {
+        if (entry.name == name) {
+            return entry;
+        }
+    }
+    std::fprintf(stderr, "process \"%s\" does not exist in this fleet\n", name.c_str());
+    std::abort();
+}
+
+std::vector<process_info> fleet::processes(const std::string& role) const {
+    std::vector<process_info> found;
+    for (const process_info& entry : processes_) {
+        if (entry.role == role) {
+            found.push_back(entry);
+        }
+    }
+    return found;
+}
+
+endpoint fleet::object_api() const {
+    return parse_endpoint(string_member(description_, "object_api")).value();
+}
+
+void fleet::send_signal(const std::string& name, int signal) const {
+    if (is_running(name)) {
+        ::kill(process(name).pid, signal);
+    }
+}
+
+char fleet::state_of(const std::string& name) const {
+    std::ifstream in("/proc/" + std::to_string(process(name).pid) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    const std::size_t end = text.rfind(')');
+    return end == std::string::npos || end + 2 >= text.size() ? '-' : text[end + 2];
+}
+
+bool fleet::is_running(const std::string& name) const {
+    int status = 0;
+    ::waitpid(process(name).pid, &status, WNOHANG); // Reaps a process that this one restarted.
+    const char state = state_of(name);
+    return state != '-' && state != 'Z' && state != 'X';
+}
+
+bool fleet::is_frozen(const std::string& name) const {
+    return state_of(name) == 'T';
+}
+
+void fleet::restart(const std::string& name) {
+    for (Json::Value& entry : description_["processes"]) {
+        if (string_member(entry, "name") != name) {
+            continue;
+        }
+        for (process_info& info : processes_) {
+            if (info.name == name) {
+                info.pid = spawn(info.command, {}, path(name + ".out"));
+                entry["pid"] = info.pid;
+            }
+        }
+    }
+    std::ofstream(path("fleet.json")) << to_pretty_text(description_);
+}
+
+void fleet::set_proxy(const std::string& name, const std::string& mode, int count) const {
+    const endpoint control = parse_endpoint(string_member(description_["proxies"][name], "control")).value();
+    http_request request;
+    request.method = "POST";
+    request.path = "/mode";
+    Json::Value body;
+    body["mode"] = mode;
+    body["count"] = count;
+    request.body = to_text(body);
+    (void)call_http(control, request, http_timeouts{});
+}
+
+command_result fleet::control(std::vector<std::string> arguments, const std::string& failpoints) const {
+    arguments.insert(arguments.begin(), std::string(BUILD_DIR) + "/eelgrassctl");
+    arguments.push_back("--object_api=" + object_api().text());
+    arguments.push_back("--fleet_key=" + string_member(description_, "fleet_key"));
+    return run_program(arguments, {failpoints_variable + failpoints});
+}
+
+double fleet::metric(const std::string& process_name, const std::string& metric_name) const {
+    http_request request;
+    request.path = "/metrics";
+    const result<http_response> reply = call_http(process(process_name).address, request, http_timeouts{});
+    if (!reply) {
+        return -1;
+    }
+    std::istringstream lines(reply.value().body);
+    std::string line;
+    const std::string prefix = "eelgrassgw_" + metric_name + " ";
+    while (std::getline(lines, line)) {
+        if (line.starts_with(prefix)) {
+            return std::strtod(line.c_str() + prefix.size(), nullptr);
+        }
+    }
+    return -1;
+}
+
+} // namespace eelgrassgw::test
--- /dev/null
+++ b/test/system/whole_path_test.cpp
@@ -0,0 +1,86 @@
+/// The whole path without faults.
+
+#include "test/system/checker.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace eelgrassgw::test {
+namespace {
+
+constexpr std::chrono::seconds rest_limit{30};
+
+class whole_path_test : public testing::Test {
+protected:
+    void SetUp() override { ASSERT_TRUE(target.is_up()); }
+
+    void expect_promises_hold() {
+        EXPECT_EQ(wait_for_rest(target, rest_limit), "");
+        for (const std::string& violation : checker(target, callers.seen()).violations()) {
+            ADD_FAILURE() << violation;
+        }
+    }
+
+    fleet target{{"--routers=2", "--engines=3", "--services=2"}};
+    caller callers{target};
+};
+
+TEST_F(whole_path_test, thousand_mixed_requests_balance_to_the_token) {
+    constexpr int callers_at_once = 10;
+    constexpr int requests_each = 100;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers_at_once; ++i) {
+        threads.emplace_back([this, i] {
+            for (int j = 0; j < requests_each; ++j) {
+                const std::string number = std::to_string(i) + "-" + std::to_string(j);
+                const std::string router = j % 2 == 0 ? "router-1" : "router-2";
+                if (j % 5 == 4) {
+                    (void)callers.book(router, "lot-" + number);
+                } else {
+                    (void)callers.chat(router, "question " + number, j % 3 == 0 ? "key-" + number : "", j % 2 == 1);
+                }
+            }
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    int answered = 0;
+    for (const observation& o : callers.seen()) {
+        answered += o.whole ? 1 : 0;
+    }
+    EXPECT_EQ(answered, callers_at_once * requests_each);
+    expect_promises_hold();
+    EXPECT_EQ(target.down(), 0);
+}
+
+TEST_F(whole_path_test, repeated_key_at_another_router_gets_the_same_answer_and_one_bill) {
+    const observation first = callers.chat("router-1", "repeated", "same-key", false);
+    const observation second = callers.chat("router-2", "repeated", "same-key", false);
+    EXPECT_EQ(first.text, second.text);
+    expect_promises_hold();
+}
+
+TEST_F(whole_path_test, key_with_another_body_is_refused) {
+    (void)callers.chat("router-1", "one body", "same-key", false);
+    EXPECT_EQ(callers.chat("router-2", "another body", "same-key", false).code, "key_reused");
+}
+
+TEST_F(whole_path_test, booking_without_a_key_is_refused) {
+    EXPECT_EQ(callers.book("router-1", "").code, "missing_idempotency_key");
+}
+
+TEST_F(whole_path_test, booking_repeated_at_once_takes_effect_once) {
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 8; ++i) {
+        threads.emplace_back([this, i] { (void)callers.book(i % 2 == 0 ? "router-1" : "router-2", "one-lot"); });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    expect_promises_hold();
+}
+
+} // namespace
+} // namespace eelgrassgw::test
