Fault matrix: every cell has a test that ran, or a reason why it cannot occur

Change: outside faults (agents cut, router cut from the object API, object API stopped) begin exactly at a step, by holding the process there; faults of a planned stop, of the configuration's ways and of operators' commands; races of routers in one shard and in one recovery. Ruled out: a duplicated call of a plain service, which neither a process nor TCP makes. Conclusion: the matrix is closed for the steps and faults listed.

--- a/include/eelgrassgw/base/failpoint.h
+++ b/include/eelgrassgw/base/failpoint.h
@@ -25,7 +25,8 @@
 
 /// Arms failpoints from a text such as "journal_write=exit:2,seal=skip,fold=freeze". `exit` ends the
 /// process at once, `freeze` stops it with SIGSTOP, the actions above are returned by `failpoint`; a number
-/// after the colon says at which pass (1 is the first), "2+" means the second and all later ones. Does nothing in release builds.
+/// after the colon says at which pass (1 is the first), "2+" means the second and all later ones. Does
+/// nothing in release builds.
 void arm_failpoints(const std::string& text);
 
 /// Marks a place. Example: `if (failpoint("seal") == failpoint_action::skip) { return; }`. Thread-safe.
--- a/include/eelgrassgw/configuration/configuration_store.h
+++ b/include/eelgrassgw/configuration/configuration_store.h
@@ -119,8 +119,9 @@
             return keep_history(wanted, text);
         }
         const result<done> allowed = check_base(object.value(), wanted.value(), base);
-        return allowed ? make_failure(errc::version_conflict, "apply configuration", "", "it changed meanwhile")
-                       : allowed.error();
+        return allowed
+                   ? make_failure(errc::version_conflict, "apply configuration", "", "it changed meanwhile")
+                   : allowed.error();
     }
 
     result<configuration> keep_history(const result<configuration>& accepted, const std::string& text) {
--- a/include/eelgrassgw/ledger/ledger_client.h
+++ b/include/eelgrassgw/ledger/ledger_client.h
@@ -254,10 +254,12 @@
 
     result<done> write(shard_state& state, ledger_shard next) {
         const bool is_return = state.returning.amount > 0;
-        failpoint(is_return ? "return_before_write" : (state.unfolded.empty() ? "grant_before_write" : "fold_before_write"));
+        failpoint(is_return ? "return_before_write"
+                            : (state.unfolded.empty() ? "grant_before_write" : "fold_before_write"));
         const std::string key = ledger_key(number_of(state));
         const result<object_version> written = store_.put(key, next.to_text(), state.version);
-        failpoint(is_return ? "return_after_write" : (state.unfolded.empty() ? "grant_after_write" : "fold_after_write"));
+        failpoint(is_return ? "return_after_write"
+                            : (state.unfolded.empty() ? "grant_after_write" : "fold_after_write"));
         if (written) {
             state.shard = std::move(next);
             state.version = written.value();
@@ -269,10 +271,12 @@
         if (written.failed_with(errc::unreachable)) {
             return written.error();
         }
-        // A conflict may come from this very write, sent twice by the transport: it is settled like a lost answer.
+        // A conflict may come from this very write, sent twice by the transport: it is settled like a lost
+        // answer.
         state.known = false;
         state.unresolved_on = state.version;
-        return make_failure(errc::version_conflict, "ledger update", written.error().peer, written.error().message);
+        return make_failure(errc::version_conflict, "ledger update", written.error().peer,
+                            written.error().message);
     }
 
     result<done> refresh(shard_state& state) {
--- a/include/eelgrassgw/router/internal/router_background.h
+++ b/include/eelgrassgw/router/internal/router_background.h
@@ -302,6 +302,7 @@
             round = notices_;
         }
         for (const auto& [agent, ids] : round) {
+            failpoint("notice_before_send");
             if (!is_told(agent, ids)) {
                 continue;
             }
--- a/include/eelgrassgw/transport/http_client.h
+++ b/include/eelgrassgw/transport/http_client.h
@@ -48,8 +48,8 @@
 result<std::unique_ptr<http_stream>> open_http_stream(const endpoint& peer, const http_request& request,
                                                       const http_timeouts& timeouts);
 
-/// Sends `request` once and never again on a connection of its own, and reads the whole reply. Where the reply names its
-/// length, a shorter body is `outcome_unknown`. Errors as above. Thread-safe.
+/// Sends `request` once and never again on a connection of its own, and reads the whole reply. Where the
+/// reply names its length, a shorter body is `outcome_unknown`. Errors as above. Thread-safe.
 result<http_response> call_http(const endpoint& peer, const http_request& request,
                                 const http_timeouts& timeouts);
 
--- a/src/agent/engine_backend.cpp
+++ b/src/agent/engine_backend.cpp
@@ -22,6 +22,7 @@
     http_request request;
     request.method = "POST";
     request.path = "/v1/chat/completions";
+    request.failpoint_name = "call_engine";
     request.headers["content-type"] = "application/json";
     request.body = to_text(body);
     return request;
--- a/src/agent/service_backend.cpp
+++ b/src/agent/service_backend.cpp
@@ -12,6 +12,7 @@
     request.headers["idempotency-key"] = t.request_id;
     request.headers["content-type"] = "application/json";
     request.body = t.body;
+    request.failpoint_name = "call_service";
     http_timeouts timeouts = timeouts_;
     timeouts.silence = std::max(timeouts.connect, t.deadline);
     failpoint("service_before_call");
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -55,6 +55,13 @@
     }
 }
 
+/// Passes the failpoint "<name>_answered" once the answer is there.
+void pass_answered_failpoint(const http_request& request) {
+    if (!request.failpoint_name.empty()) {
+        failpoint((request.failpoint_name + "_answered").c_str());
+    }
+}
+
 cxxtools::http::Request to_library_request(const http_request& from) {
     const std::string query = from.query.empty() ? "" : "?" + from.query; // The library drops qparams().
     cxxtools::http::Request request(percent_encode(from.path) + query);
@@ -213,7 +220,10 @@
 
 result<http_response> call_http(const endpoint& peer, const http_request& request,
                                 const http_timeouts& timeouts) {
-    return send_with_faults<http_response>(peer, request, [=] { return call_once(peer, request, timeouts); });
+    result<http_response> response =
+        send_with_faults<http_response>(peer, request, [=] { return call_once(peer, request, timeouts); });
+    pass_answered_failpoint(request);
+    return response;
 }
 
 class http_connection_pool::impl {
@@ -276,7 +286,10 @@
 http_connection_pool::~http_connection_pool() = default;
 
 result<http_response> http_connection_pool::call(const http_request& request, const http_timeouts& timeouts) {
-    return send_with_faults<http_response>(peer(), request, [=] { return impl_->call(request, timeouts); });
+    result<http_response> response =
+        send_with_faults<http_response>(peer(), request, [=] { return impl_->call(request, timeouts); });
+    pass_answered_failpoint(request);
+    return response;
 }
 
 const endpoint& http_connection_pool::peer() const {
--- a/test/stand_ins/fault_proxy.cpp
+++ b/test/stand_ins/fault_proxy.cpp
@@ -1,8 +1,7 @@
 /// A TCP proxy that fails on order. Modes: pass; cut (closes connections and refuses new ones); freeze (holds
 /// all bytes); lose_answers (the request arrives, its answer never does); lose_requests (the request is held
 /// back for good); cut_answers (the request arrives, and the connection breaks at its answer);
-/// delay_requests (connections are held for `delay_ms` first). `count` ends the mode after so many
-/// connections.
+/// delay_requests (connections are held for `delay_ms` first).
 
 #include "eelgrassgw/base/json.h"
 #include "test/stand_ins/stand_in.h"
@@ -45,9 +44,7 @@
         if (body) {
             const std::lock_guard lock(mutex_);
             mode_ = string_member(body.value(), "mode", "pass");
-            left_ = static_cast<int>(int_member(body.value(), "count", -1));
             delay_ = std::chrono::milliseconds(int_member(body.value(), "delay_ms"));
-            ++generation_;
         }
         Json::Value reply;
         reply["mode"] = mode();
@@ -70,16 +67,6 @@
         return mode_;
     }
 
-    /// The mode for one new connection; counts it.
-    std::string take_mode() {
-        const std::lock_guard lock(mutex_);
-        const std::string taken = mode_;
-        if (taken != "pass" && left_ > 0 && --left_ == 0) {
-            mode_ = "pass";
-        }
-        return taken;
-    }
-
     int open_listener() const {
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
@@ -107,7 +94,7 @@
     }
 
     void serve(int client) {
-        const std::string mode_at_start = take_mode();
+        const std::string mode_at_start = mode();
         if (mode_at_start == "delay_requests") {
             std::this_thread::sleep_for(delay_);
         }
@@ -163,9 +150,7 @@
     endpoint target_;
     std::mutex mutex_;
     std::string mode_ = "pass";
-    int left_ = -1;
     std::chrono::milliseconds delay_{0};
-    std::uint64_t generation_ = 0;
 };
 
 } // namespace eelgrassgw::stand_in
--- a/test/system/caller.cpp
+++ b/test/system/caller.cpp
@@ -28,7 +28,8 @@
     return request_id_for(string_member(target.description(), "customer"), key);
 }
 
-http_request caller::make_request(const std::string& method, const std::string& path, const std::string& key) const {
+http_request caller::make_request(const std::string& method, const std::string& path,
+                                  const std::string& key) const {
     http_request request;
     request.method = method;
     request.path = path;
@@ -50,7 +51,8 @@
     return seen_;
 }
 
-observation caller::chat(const std::string& router, const std::string& prompt, const std::string& key, bool stream) {
+observation caller::chat(const std::string& router, const std::string& prompt, const std::string& key,
+                         bool stream) {
     http_request request = make_request("POST", "/v1/chat/completions", key);
     Json::Value body;
     body["model"] = "lagoon-1";
--- a/test/system/caller.h
+++ b/test/system/caller.h
@@ -13,7 +13,7 @@
     std::string kind; ///< "chat", "book" or "position".
     std::string request_id;
     std::string prompt;
-    int status = 0;   ///< 0: no answer came.
+    int status = 0; ///< 0: no answer came.
     bool whole = false;
     std::string text; ///< Of a chat's answer, also where it broke off.
     std::string code; ///< Of an error.
@@ -26,7 +26,8 @@
 public:
     explicit caller(const fleet& target) : fleet_(target) {}
 
-    observation chat(const std::string& router, const std::string& prompt, const std::string& key, bool stream);
+    observation chat(const std::string& router, const std::string& prompt, const std::string& key,
+                     bool stream);
     observation book(const std::string& router, const std::string& key);
     observation position(const std::string& router);
 
@@ -38,7 +39,8 @@
     std::vector<observation> seen() const;
 
 private:
-    http_request make_request(const std::string& method, const std::string& path, const std::string& key) const;
+    http_request make_request(const std::string& method, const std::string& path,
+                              const std::string& key) const;
     observation send(const std::string& router, const http_request& request, observation noted);
     observation send_streamed(const std::string& router, const http_request& request, observation noted);
     observation note(observation noted);
--- /dev/null
+++ b/test/system/drain_test.cpp
@@ -0,0 +1,194 @@
+/// Faults while a process stops as planned, and while a configuration makes its way.
+
+#include "eelgrassgw/settings/process_settings.h"
+#include "test/system/checker.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace eelgrassgw::test {
+namespace {
+
+constexpr std::chrono::seconds answer_limit{30};
+constexpr std::chrono::seconds rest_limit{40};
+constexpr std::chrono::milliseconds short_time{150};
+constexpr std::chrono::milliseconds longer_than_trusted{3500};
+
+void expect_promises_hold(fleet& target, const caller& callers) {
+    EXPECT_EQ(wait_for_rest(target, rest_limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
+void send_traffic(caller& callers) {
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&callers, i] {
+            const std::string number = std::to_string(i);
+            (void)callers.chat_until_final("LENGTH=60 " + number, "chat-" + number, i % 2 == 0, answer_limit);
+            (void)callers.book_until_final("booking-" + number, answer_limit);
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+}
+
+/// A process that stops as planned, and the fault that meets it then.
+struct drain_case {
+    std::string fault;
+    std::string process;
+    std::string failpoint; ///< Of a message that the stop sends; empty for other faults.
+
+    std::string name() const {
+        const bool is_router = process.starts_with("router");
+        return std::string("drain__") + fault + "__" + (is_router ? "router" : "agent");
+    }
+};
+
+std::vector<drain_case> drain_cases() {
+    std::vector<drain_case> cases;
+    for (const char* process : {"router-1", "engine-1"}) {
+        const bool is_router = std::string(process) == "router-1";
+        const std::string entry = is_router ? "store_PUT_routers=" : "store_PUT_agents=";
+        for (const char* fault : {"unreachable", "lose_request", "lose_answer", "late", "twice", "slow"}) {
+            cases.push_back({fault, process, entry + fault + ":2"});
+        }
+        for (const char* fault : {"killed", "frozen", "cut", "partition", "object_api_stopped"}) {
+            cases.push_back({fault, process, ""});
+        }
+    }
+    return cases;
+}
+
+class drain_fault_test : public testing::TestWithParam<drain_case> {
+protected:
+    void bring_fault(fleet& target) const {
+        const drain_case& c = GetParam();
+        if (c.fault == "killed") {
+            target.send_signal(c.process, SIGKILL);
+        } else if (c.fault == "frozen") {
+            target.send_signal(c.process, SIGSTOP);
+            std::this_thread::sleep_for(longer_than_trusted);
+            target.send_signal(c.process, SIGCONT);
+        } else if (c.fault == "cut" || c.fault == "partition") {
+            const std::string proxy = (c.fault == "cut" ? "" : "api-") + c.process;
+            target.set_proxy(proxy, "cut");
+            std::this_thread::sleep_for(c.fault == "cut" ? short_time : longer_than_trusted);
+            target.set_proxy(proxy, "pass");
+        } else if (c.fault == "object_api_stopped") {
+            target.send_signal("object-api", SIGSTOP);
+            std::this_thread::sleep_for(longer_than_trusted);
+            target.send_signal("object-api", SIGCONT);
+        }
+    }
+};
+
+TEST_P(drain_fault_test, promises_hold) {
+    const drain_case& c = GetParam();
+    std::vector<std::string> arguments = {"--routers=2", "--engines=2", "--services=1", "--proxies"};
+    if (!c.failpoint.empty()) {
+        arguments.push_back("--failpoint=" + c.process + "/" + c.failpoint);
+    }
+    fleet target(arguments);
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    std::thread traffic([&] { send_traffic(callers); });
+    std::this_thread::sleep_for(short_time);
+    target.send_signal(c.process, SIGTERM);
+    bring_fault(target);
+    EXPECT_TRUE(wait_until([&] { return !target.is_running(c.process); }, rest_limit));
+    target.restart(c.process);
+    traffic.join();
+    expect_promises_hold(target, callers);
+    if (!HasFailure()) {
+        EXPECT_EQ(target.down(), 0) << "a planned stop left something behind";
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(drain, drain_fault_test, testing::ValuesIn(drain_cases()),
+                         [](const auto& info) { return info.param.name(); });
+
+/// A way of the configuration to router 1, and the fault that meets it.
+struct configuration_case {
+    std::string step;
+    std::string fault;
+    std::string failpoint;
+
+    std::string name() const { return step + "__" + fault + "__message"; }
+};
+
+std::vector<configuration_case> configuration_cases() {
+    std::vector<configuration_case> cases;
+    for (const char* fault : {"unreachable", "lose_request", "lose_answer", "late", "slow", "twice"}) {
+        cases.push_back(
+            {"configuration_watch", fault, std::string("store_WATCH_configuration=") + fault + ":2"});
+        cases.push_back({"configuration_exchange", fault, std::string("rpc_configuration=") + fault + ":1"});
+    }
+    return cases;
+}
+
+class configuration_fault_test : public testing::TestWithParam<configuration_case> {};
+
+TEST_P(configuration_fault_test, promises_hold) {
+    const configuration_case& c = GetParam();
+    fleet target(
+        {"--routers=2", "--engines=1", "--services=1", "--proxies", "--failpoint=router-1/" + c.failpoint});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    if (c.step == "configuration_exchange") {
+        target.set_proxy("api-router-1", "cut");
+    }
+    const std::string file = target.path("configuration.json");
+    EXPECT_EQ(target.control({"apply", "--file=" + file, "--base=1", "--by=ada", "--reason=test"}).exit_code,
+              0);
+    EXPECT_TRUE(
+        wait_until([&] { return target.metric("router-1", "configuration_revision") == 2; }, answer_limit));
+    target.set_proxy("api-router-1", "pass");
+    EXPECT_TRUE(callers.chat_until_final("after the change", "key", false, answer_limit).whole);
+    expect_promises_hold(target, callers);
+}
+
+INSTANTIATE_TEST_SUITE_P(configuration, configuration_fault_test, testing::ValuesIn(configuration_cases()),
+                         [](const auto& info) { return info.param.name(); });
+
+TEST(configuration_exchange_test, frozen_peer_does_not_keep_the_newest_configuration_away) {
+    fleet target({"--routers=2", "--engines=1", "--services=1", "--proxies"});
+    ASSERT_TRUE(target.is_up());
+    const caller callers(target);
+    target.set_proxy("api-router-1", "cut");
+    target.send_signal("router-2", SIGSTOP);
+    const std::string file = target.path("configuration.json");
+    EXPECT_EQ(target.control({"apply", "--file=" + file, "--base=1", "--by=ada", "--reason=test"}).exit_code,
+              0);
+    std::this_thread::sleep_for(longer_than_trusted);
+    target.set_proxy("api-router-1", "pass");
+    EXPECT_TRUE(
+        wait_until([&] { return target.metric("router-1", "configuration_revision") == 2; }, answer_limit));
+    target.send_signal("router-2", SIGCONT);
+    EXPECT_TRUE(
+        wait_until([&] { return target.metric("router-2", "configuration_revision") == 2; }, answer_limit));
+    expect_promises_hold(target, callers);
+}
+
+TEST(configuration_watch_test, router_killed_and_restarted_comes_back_with_the_newest_configuration) {
+    fleet target({"--routers=2", "--engines=1", "--services=1"});
+    ASSERT_TRUE(target.is_up());
+    const caller callers(target);
+    target.send_signal("router-1", SIGKILL);
+    const std::string file = target.path("configuration.json");
+    EXPECT_EQ(target.control({"apply", "--file=" + file, "--base=1", "--by=ada", "--reason=test"}).exit_code,
+              0);
+    EXPECT_TRUE(wait_until([&] { return !target.is_running("router-1"); }, answer_limit));
+    target.restart("router-1");
+    EXPECT_TRUE(
+        wait_until([&] { return target.metric("router-1", "configuration_revision") == 2; }, answer_limit));
+    expect_promises_hold(target, callers);
+}
+
+} // namespace
+} // namespace eelgrassgw::test
--- a/test/system/fault_cell.cpp
+++ b/test/system/fault_cell.cpp
@@ -42,7 +42,7 @@
          {"journal_before_write", "journal_after_write"},
          {"store_PUT_journal"},
          {}},
-        {"journalled_notice", "router-1", {}, {"rpc_journalled"}, {}},
+        {"journalled_notice", "router-1", {"notice_before_send"}, {"rpc_journalled"}, {}},
         {"ledger_fold", "router-1", {"fold_before_write", "fold_after_write"}, {"store_PUT_ledger:2"}, {}},
         {"allowance_return",
          "router-1",
@@ -51,7 +51,8 @@
          quick_returns},
         {"claim_written", "router-1", {"claim_written"}, {"store_PUT_claims", "store_GET_claims"}, {}},
         {"claim_done", "router-1", {"claim_before_done"}, {"store_PUT_claims:2"}, {}},
-        {"service_call", "service-1", {"service_before_call", "service_after_call"}, {}, {}},
+        {"service_call", "service-1", {"service_before_call", "service_after_call"}, {"call_service"}, {}},
+        {"engine_call", "engine-1", {"agent_run_started"}, {"call_engine"}, {}},
         {"recovery_seal",
          "router-2",
          {"recovery_entry_sealed", "recovery_journal_sealed"},
@@ -101,6 +102,16 @@
     return !site.process.starts_with("router");
 }
 
+/// Faults of the network and the platform that begin exactly at the place: the process is held there while
+/// they are set up.
+void add_outside_faults(const step_site& site, const std::string& place, std::vector<fault_cell>& cells) {
+    step_site with_proxies = site;
+    with_proxies.arguments.push_back("--proxies");
+    cells.push_back(make_cell(with_proxies, place, "cut", fault_kind::cut, "freeze"));
+    cells.push_back(make_cell(with_proxies, place, "partition", fault_kind::partition, "freeze"));
+    cells.push_back(make_cell(with_proxies, place, "object_api_stopped", fault_kind::api_stopped, "freeze"));
+}
+
 void add_process_faults(const step_site& site, const std::string& place, std::vector<fault_cell>& cells) {
     cells.push_back(make_cell(site, place, "frozen", fault_kind::freeze, "freeze"));
     cells.push_back(make_cell(site, place, "restarted", fault_kind::kill_restart, "exit"));
@@ -123,7 +134,10 @@
         return;
     }
     for (const char* action : {"unreachable", "lose_request", "lose_answer", "late", "twice", "slow"}) {
-        cells.push_back(make_cell(site, message, action, fault_kind::message, action));
+        const bool is_duplicated_call = message == "call_service" && std::string(action) == "twice";
+        if (!is_duplicated_call) { // Nothing before the service sends a call twice, and TCP does not either.
+            cells.push_back(make_cell(site, message, action, fault_kind::message, action));
+        }
     }
 }
 
@@ -135,6 +149,9 @@
         for (const std::string& place : site.places) {
             add_process_faults(site, place, cells);
         }
+        if (!site.places.empty()) {
+            add_outside_faults(site, site.places.front(), cells);
+        }
         for (const std::string& message : site.messages) {
             add_message_faults(site, message, cells);
         }
--- a/test/system/fault_cell.h
+++ b/test/system/fault_cell.h
@@ -15,6 +15,9 @@
     kill,         ///< The process ends and stays away.
     kill_restart, ///< The process ends and is started again at once.
     freeze,       ///< The process stops for longer than it is trusted, then goes on.
+    cut,          ///< At the place, all connections of the agents break for a moment.
+    partition,    ///< At the place, the process is cut from the object API for longer than it is trusted.
+    api_stopped,  ///< At the place, the object API stops for everybody.
     kill_both,    ///< The router ends, and so does every agent of an engine; the agents come back.
 };
 
--- a/test/system/fault_matrix_test.cpp
+++ b/test/system/fault_matrix_test.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::seconds answer_limit{25};
 constexpr std::chrono::seconds rest_limit{30};
 constexpr std::chrono::seconds fault_limit{20};
+constexpr std::chrono::milliseconds short_cut{500};
 constexpr std::chrono::milliseconds longer_than_trusted{3500};
 
 class fault_matrix_test : public testing::TestWithParam<fault_cell> {};
@@ -57,6 +58,36 @@
     }
 }
 
+void set_all_agents(const fleet& target, const std::string& mode) {
+    for (const process_info& agent : target.processes("agent")) {
+        target.set_proxy(agent.name, mode);
+    }
+}
+
+/// The process is held at the place: the fault begins, the process goes on, and later the fault ends.
+void bring_outside_fault(const fault_cell& cell, const fleet& target) {
+    const std::string api_proxy = "api-" + cell.process;
+    switch (cell.kind) {
+    case fault_kind::cut:
+        set_all_agents(target, "cut");
+        target.send_signal(cell.process, SIGCONT);
+        std::this_thread::sleep_for(short_cut);
+        set_all_agents(target, "pass");
+        break;
+    case fault_kind::partition:
+        target.set_proxy(api_proxy, "cut");
+        target.send_signal(cell.process, SIGCONT);
+        std::this_thread::sleep_for(longer_than_trusted);
+        target.set_proxy(api_proxy, "pass");
+        break;
+    default:
+        target.send_signal("object-api", SIGSTOP);
+        target.send_signal(cell.process, SIGCONT);
+        std::this_thread::sleep_for(longer_than_trusted);
+        target.send_signal("object-api", SIGCONT);
+    }
+}
+
 /// Waits for the fault, then brings about what belongs to it.
 void follow_fault(const fault_cell& cell, fleet& target) {
     const bool came = wait_until([&] { return failpoint_fired(target, cell); }, fault_limit);
@@ -69,6 +100,11 @@
         target.send_signal(cell.process, SIGCONT);
         return;
     }
+    if (cell.kind == fault_kind::cut || cell.kind == fault_kind::partition ||
+        cell.kind == fault_kind::api_stopped) {
+        bring_outside_fault(cell, target);
+        return;
+    }
     EXPECT_TRUE(wait_until([&] { return !target.is_running(cell.process); }, fault_limit));
     if (cell.kind == fault_kind::kill_restart) {
         target.restart(cell.process);
--- a/test/system/fleet.cpp
+++ b/test/system/fleet.cpp
@@ -39,8 +39,8 @@
     variables.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file.c_str(), O_CREAT | O_WRONLY | O_APPEND,
-                                     0644);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file.c_str(),
+                                     O_CREAT | O_WRONLY | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     pid_t pid = -1;
     if (posix_spawnp(&pid, arguments[0], &actions, nullptr, arguments.data(), variables.data()) != 0) {
@@ -52,8 +52,8 @@
 
 std::string new_directory() {
     static std::atomic<int> number{0};
-    const std::string name = std::string(BUILD_DIR) + "/fleets/" + std::to_string(::getpid()) + "-" +
-                             std::to_string(++number);
+    const std::string name =
+        std::string(BUILD_DIR) + "/fleets/" + std::to_string(::getpid()) + "-" + std::to_string(++number);
     std::filesystem::create_directories(name);
     return name;
 }
@@ -64,7 +64,8 @@
 
 } // namespace
 
-command_result run_program(const std::vector<std::string>& command, const std::vector<std::string>& environment) {
+command_result run_program(const std::vector<std::string>& command,
+                           const std::vector<std::string>& environment) {
     static std::atomic<int> number{0};
     const std::string output_file =
         std::string(BUILD_DIR) + "/output-" + std::to_string(::getpid()) + "-" + std::to_string(++number);
@@ -93,7 +94,8 @@
 }
 
 fleet::fleet(const std::vector<std::string>& arguments) : directory_(new_directory()) {
-    std::vector<std::string> command = {local_fleet_script(), "up", directory_, "--build=" + std::string(BUILD_DIR)};
+    std::vector<std::string> command = {local_fleet_script(), "up", directory_,
+                                        "--build=" + std::string(BUILD_DIR)};
     command.insert(command.end(), arguments.begin(), arguments.end());
     const command_result started = run_program(command);
     const result<std::string> text = read_file(path("fleet.json"));
@@ -195,21 +197,32 @@
     std::ofstream(path("fleet.json")) << to_pretty_text(description_);
 }
 
-void fleet::set_proxy(const std::string& name, const std::string& mode, int count) const {
+void fleet::set_proxy(const std::string& name, const std::string& mode,
+                      std::chrono::milliseconds delay) const {
     const endpoint control = parse_endpoint(string_member(description_["proxies"][name], "control")).value();
     http_request request;
     request.method = "POST";
     request.path = "/mode";
     Json::Value body;
     body["mode"] = mode;
-    body["count"] = count;
+    body["delay_ms"] = Json::Int64(delay.count());
     request.body = to_text(body);
     (void)call_http(control, request, http_timeouts{});
 }
 
-command_result fleet::control(std::vector<std::string> arguments, const std::string& failpoints) const {
+endpoint fleet::proxy_address(const std::string& name) const {
+    return parse_endpoint(string_member(description_["proxies"][name], "listen")).value();
+}
+
+command_result fleet::control(const std::vector<std::string>& arguments,
+                              const std::string& failpoints) const {
+    return control_through(object_api(), arguments, failpoints);
+}
+
+command_result fleet::control_through(const endpoint& api, std::vector<std::string> arguments,
+                                      const std::string& failpoints) const {
     arguments.insert(arguments.begin(), std::string(BUILD_DIR) + "/eelgrassctl");
-    arguments.push_back("--object_api=" + object_api().text());
+    arguments.push_back("--object_api=" + api.text());
     arguments.push_back("--fleet_key=" + string_member(description_, "fleet_key"));
     return run_program(arguments, {failpoints_variable + failpoints});
 }
--- a/test/system/fleet.h
+++ b/test/system/fleet.h
@@ -27,7 +27,8 @@
 };
 
 /// Runs a program to its end. `environment` adds entries such as "NAME=value".
-command_result run_program(const std::vector<std::string>& command, const std::vector<std::string>& environment = {});
+command_result run_program(const std::vector<std::string>& command,
+                           const std::vector<std::string>& environment = {});
 
 /// Waits until `holds`. Returns false after `longest`.
 bool wait_until(const std::function<bool()>& holds, std::chrono::milliseconds longest);
@@ -62,10 +63,20 @@
     void restart(const std::string& name);
 
     /// Sets the mode of the fault proxy `name`.
-    void set_proxy(const std::string& name, const std::string& mode, int count = -1) const;
+    /// `delay` is for the mode "delay_requests".
+    void set_proxy(const std::string& name, const std::string& mode,
+                   std::chrono::milliseconds delay = std::chrono::milliseconds(0)) const;
+
+    /// Address of the fault proxy `name`.
+    endpoint proxy_address(const std::string& name) const;
 
     /// Runs eelgrassctl against this fleet's object API.
-    command_result control(std::vector<std::string> arguments, const std::string& failpoints = "") const;
+    command_result control(const std::vector<std::string>& arguments,
+                           const std::string& failpoints = "") const;
+
+    /// The same through another address, such as that of a proxy.
+    command_result control_through(const endpoint& api, std::vector<std::string> arguments,
+                                   const std::string& failpoints = "") const;
 
     /// A metric of one process, or -1 where it cannot be read.
     double metric(const std::string& process_name, const std::string& metric_name) const;
--- a/test/system/operations_test.cpp
+++ b/test/system/operations_test.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::seconds in_force_limit{7};
 constexpr std::chrono::seconds rest_limit{30};
 constexpr std::chrono::seconds start_limit{20};
+constexpr std::chrono::milliseconds late_by{6000}; // eelgrassctl waits 5 s for an answer.
 
 class operations_test : public testing::Test {
 protected:
@@ -104,6 +105,48 @@
     EXPECT_TRUE(is_in_force("router-1", 1));
 }
 
+TEST_F(operations_test, apply_whose_operator_dies_before_it_is_sent_may_be_repeated) {
+    EXPECT_NE(apply(1, 100, "ada", "store_PUT_configuration=exit:1"), 0);
+    EXPECT_EQ(apply(1, 100, "ada"), 0);
+}
+
+TEST_F(operations_test, apply_whose_operator_dies_after_it_took_effect_may_be_repeated) {
+    EXPECT_NE(apply(1, 100, "ada", "store_PUT_configuration_answered=exit:1"), 0);
+    EXPECT_EQ(apply(1, 100, "ada"), 0);
+}
+
+TEST_F(operations_test, slow_apply_loses_against_one_that_came_meanwhile) {
+    int slow = -1;
+    std::thread ada([&] { slow = apply(1, 100, "ada", "store_PUT_configuration=slow:1"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(apply(1, 200, "ben"), 0);
+    ada.join();
+    EXPECT_EQ(slow, 3);
+    expect_promises_hold();
+}
+
+TEST_F(operations_test, apply_that_arrives_late_may_be_repeated) {
+    target.set_proxy("api-router-2", "delay_requests", late_by);
+    std::ofstream(target.path("late.json")) << read_file(target.path("configuration.json")).value();
+    const std::vector<std::string> arguments = {"apply", "--file=" + target.path("late.json"), "--base=1",
+                                                "--by=ada", "--reason=late"};
+    EXPECT_EQ(target.control_through(target.proxy_address("api-router-2"), arguments).exit_code, 4);
+    target.set_proxy("api-router-2", "pass");
+    EXPECT_EQ(target.control(arguments).exit_code, 0);
+    EXPECT_TRUE(wait_until([&] { return is_in_force("router-1", 2); }, in_force_limit));
+    expect_promises_hold();
+}
+
+TEST_F(operations_test, apply_while_the_object_api_is_stopped_may_be_repeated) {
+    target.send_signal("object-api", SIGSTOP);
+    EXPECT_EQ(apply(1, 100, "ada"), 4);
+    target.send_signal("object-api", SIGCONT);
+    EXPECT_EQ(apply(1, 100, "ada"), 0);
+    EXPECT_TRUE(
+        wait_until([&] { return is_in_force("router-1", 2) && is_in_force("router-2", 2); }, start_limit));
+    expect_promises_hold();
+}
+
 TEST_F(operations_test, invalid_configuration_is_refused_whole) {
     EXPECT_EQ(apply(1, -5, "ada"), 2);
     EXPECT_TRUE(is_in_force("router-1", 1));
@@ -162,6 +205,44 @@
     EXPECT_EQ(paid(), 1500);
 }
 
+TEST_F(operations_test, top_up_that_arrives_late_counts_once) {
+    target.set_proxy("api-router-2", "delay_requests", late_by);
+    const std::vector<std::string> arguments = {"top-up", "--customer=ikoyi", "--budget=ikoyi-main",
+                                                "--id=second", "--amount=500"};
+    EXPECT_EQ(target.control_through(target.proxy_address("api-router-2"), arguments).exit_code, 4);
+    target.set_proxy("api-router-2", "pass");
+    EXPECT_EQ(target.control(arguments).exit_code, 0);
+    EXPECT_EQ(paid(), 1500);
+}
+
+TEST_F(operations_test, top_up_whose_operator_dies_after_it_took_effect_counts_once) {
+    EXPECT_NE(top_up("second", 500, "store_PUT_ledger_answered=exit:1"), 0);
+    EXPECT_EQ(top_up("second", 500), 0);
+    EXPECT_EQ(paid(), 1500);
+}
+
+TEST_F(operations_test, top_up_while_the_object_api_is_away_may_be_repeated) {
+    EXPECT_EQ(top_up("second", 500, "store_PUT_ledger=unreachable:1"), 4);
+    EXPECT_EQ(top_up("second", 500), 0);
+    EXPECT_EQ(paid(), 1500);
+}
+
+TEST_F(operations_test, slow_top_up_counts_once_beside_another) {
+    std::thread ada([&] { EXPECT_EQ(top_up("ada", 100, "store_PUT_ledger=slow:1"), 0); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(top_up("ben", 200), 0);
+    ada.join();
+    EXPECT_EQ(paid(), 1300);
+}
+
+TEST_F(operations_test, top_up_while_the_object_api_is_stopped_may_be_repeated) {
+    target.send_signal("object-api", SIGSTOP);
+    EXPECT_EQ(top_up("second", 500), 4);
+    target.send_signal("object-api", SIGCONT);
+    EXPECT_EQ(top_up("second", 500), 0);
+    EXPECT_EQ(paid(), 1500);
+}
+
 TEST_F(operations_test, two_operators_topping_up_at_once_both_count) {
     std::thread ada([&] { EXPECT_EQ(top_up("ada", 100), 0); });
     std::thread ben([&] { EXPECT_EQ(top_up("ben", 200), 0); });
--- a/test/system/whole_path_test.cpp
+++ b/test/system/whole_path_test.cpp
@@ -38,7 +38,8 @@
                 if (j % 5 == 4) {
                     (void)callers.book(router, "lot-" + number);
                 } else {
-                    (void)callers.chat(router, "question " + number, j % 3 == 0 ? "key-" + number : "", j % 2 == 1);
+                    (void)callers.chat(router, "question " + number, j % 3 == 0 ? "key-" + number : "",
+                                       j % 2 == 1);
                 }
             }
         });
@@ -71,10 +72,60 @@
     EXPECT_EQ(callers.book("router-1", "").code, "missing_idempotency_key");
 }
 
+TEST_F(whole_path_test, chat_repeated_at_once_is_run_and_billed_once) {
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 8; ++i) {
+        threads.emplace_back([this, i] {
+            (void)callers.chat(i % 2 == 0 ? "router-1" : "router-2", "at once", "one-key", i % 3 == 0);
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    expect_promises_hold();
+}
+
+TEST(one_shard_test, three_routers_that_share_one_shard_balance) {
+    fleet target({"--routers=3", "--engines=2", "--services=1", "--shards=1", "--budget=20000",
+                  "--smallest_grant=200", "--idle_return_ms=300", "--grant_horizon_s=1"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 9; ++i) {
+        threads.emplace_back([&callers, i] {
+            for (int j = 0; j < 20; ++j) {
+                const std::string text = std::to_string(i) + " asks " + std::to_string(j);
+                (void)callers.chat("router-" + std::to_string(1 + i % 3), text, "", false);
+            }
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    EXPECT_EQ(wait_for_rest(target, rest_limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+    EXPECT_EQ(target.down(), 0);
+}
+
+TEST(recovery_race_test, two_routers_recover_a_third_at_once) {
+    fleet target({"--routers=3", "--engines=2", "--services=1", "--failpoint=router-1/router_chunk=exit:4"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    (void)callers.chat_until_final("LENGTH=30", "key", true, std::chrono::seconds(20));
+    EXPECT_EQ(wait_for_rest(target, rest_limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+    EXPECT_EQ(target.down(), 0);
+}
+
 TEST_F(whole_path_test, booking_repeated_at_once_takes_effect_once) {
     std::vector<std::thread> threads;
     for (int i = 0; i < 8; ++i) {
-        threads.emplace_back([this, i] { (void)callers.book(i % 2 == 0 ? "router-1" : "router-2", "one-lot"); });
+        threads.emplace_back(
+            [this, i] { (void)callers.book(i % 2 == 0 ? "router-1" : "router-2", "one-lot"); });
     }
     for (std::thread& thread : threads) {
         thread.join();
