--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -134,7 +134,8 @@
         const result<accepted_ticket> accepted = take_ticket(t);
         if (!accepted) {
             const bool full = accepted.failed_with(errc::overloaded);
-            const auto wait = full ? slots_.expected_wait() : std::chrono::milliseconds(0);
+            const auto wait =
+                full ? slots_.promise_place(std::chrono::steady_clock::now()) : std::chrono::milliseconds(0);
             refuse(exchange, 409, code_of(accepted.error()), accepted.error().message, wait);
             log_ticket(t, "refused", accepted.error().message);
             return;
--- a/include/eelgrassgw/agent/run_slots.h
+++ b/include/eelgrassgw/agent/run_slots.h
@@ -31,8 +31,9 @@
     /// Frees a slot that was held for `busy`.
     void release(std::chrono::milliseconds busy);
 
-    /// When a caller that is refused now may expect a place, from the measured drain rate.
-    std::chrono::milliseconds expected_wait() const;
+    /// When a caller that is refused now may expect a place, from the measured drain rate. Each refused
+    /// caller is given a time of its own, so that they do not all come back at once.
+    std::chrono::milliseconds promise_place(steady_time now);
 
     int running() const;
     int queued() const;
@@ -56,6 +57,7 @@
     std::uint64_t arrivals_ = 0;
     std::uint64_t admissions_ = 0;
     double mean_busy_ms_ = 500;
+    steady_time last_promise_{};
 };
 
 } // namespace eelgrassgw
--- a/include/eelgrassgw/ledger/ledger_client.h
+++ b/include/eelgrassgw/ledger/ledger_client.h
@@ -22,9 +22,10 @@
 class ledger_client {
 public:
     ledger_client(Store& store, std::string incarnation, unsigned shard_count, allowance_book& book,
-                  Policy policy, std::function<std::size_t()> router_count)
+                  Policy policy, std::function<std::size_t()> router_count,
+                  std::function<steady_time()> clock = std::chrono::steady_clock::now)
         : store_(store), incarnation_(std::move(incarnation)), book_(book), policy_(policy),
-          router_count_(std::move(router_count)) {
+          router_count_(std::move(router_count)), clock_(std::move(clock)) {
         for (unsigned i = 0; i < shard_count; ++i) {
             shards_.push_back(std::make_unique<shard_state>());
         }
@@ -33,7 +34,7 @@
     /// Reserves `amount` in the book, with a grant from the ledger where the book has too little.
     /// Errors: `budget_exhausted`, `budget_unreachable`, `not_found`, `fenced`.
     result<done> reserve(const std::string& budget, tokens amount) {
-        const steady_time now = std::chrono::steady_clock::now();
+        const steady_time now = clock_();
         if (book_.reserve(budget, amount, now)) {
             return done{};
         }
@@ -64,7 +65,8 @@
         }
     }
 
-    /// Folds what the journal has into every shard that needs it. Returns the first failure.
+    /// Folds what the journal has into every shard that needs it, and refills allowances that run low with
+    /// the same writes. Returns the first failure.
     result<done> fold_all() {
         result<done> outcome = done{};
         for (auto& state : shards_) {
@@ -72,7 +74,9 @@
             if (state->unfolded.empty()) {
                 continue;
             }
-            const result<done> folded = update(*state, [](ledger_shard&) { return result<done>(done{}); });
+            const unsigned number = number_of(*state);
+            const result<done> folded =
+                update(*state, [&](ledger_shard& shard) { return refill(shard, number); });
             if (!folded && outcome) {
                 outcome = folded;
             }
@@ -144,6 +148,7 @@
 
 private:
     static constexpr int max_tries = 8;
+    static constexpr double least_refill_rate = 1; ///< Tokens a second; slower budgets wait for their need.
     static constexpr std::chrono::milliseconds cache_freshness{100};
 
     struct unfolded_segment {
@@ -182,18 +187,42 @@
         return 0;
     }
 
+    grant_situation situation_of(const ledger_shard& shard, const std::string& budget, tokens needed) const {
+        grant_situation situation;
+        situation.needed = needed;
+        situation.available = book_.state(budget).available();
+        situation.free = shard.free_tokens(budget);
+        situation.unspent = situation.free + shard.allowances_on(budget);
+        situation.routers = router_count_();
+        situation.spend_rate_per_second = book_.spend_rate(budget, clock_());
+        return situation;
+    }
+
     result<done> grant(shard_state& state, const std::string& budget, tokens amount) {
         return update(state, [&](ledger_shard& shard) -> result<done> {
-            grant_situation situation;
-            situation.needed = amount - book_.state(budget).available();
-            situation.free = shard.free_tokens(budget);
-            situation.routers = router_count_();
-            situation.spend_rate_per_second = book_.spend_rate(budget, std::chrono::steady_clock::now());
-            const tokens size = policy_.grant_size(situation);
-            return shard.grant(incarnation_, budget, std::max(size, std::max<tokens>(situation.needed, 1)));
+            const tokens needed = amount - book_.state(budget).available();
+            const tokens size = policy_.grant_size(situation_of(shard, budget, needed));
+            return shard.grant(incarnation_, budget, std::max(size, std::max<tokens>(needed, 1)));
         });
     }
 
+    /// Asks for more on budgets in use before they run dry, so that an outage finds the router provided.
+    result<done> refill(ledger_shard& shard, unsigned number) {
+        for (const std::string& budget : book_.budgets()) {
+            const bool is_here = shard_of(budget, shard_count()) == number;
+            if (!is_here || book_.spend_rate(budget, clock_()) < least_refill_rate) {
+                continue;
+            }
+            const grant_situation situation = situation_of(shard, budget, 0);
+            const tokens size = policy_.grant_size(situation);
+            const bool is_low = size > situation.available;
+            if (is_low && shard.grant(incarnation_, budget, size).failed_with(errc::fenced)) {
+                return make_failure(errc::fenced, "refill", "", "holder \"" + incarnation_ + "\" is closed");
+            }
+        }
+        return done{};
+    }
+
     /// Applies `change`, together with all folds that are due, by a conditional write.
     template <class Change>
     result<done> update(shard_state& state, Change change) {
@@ -294,7 +323,7 @@
         }
         state.version = version;
         state.known = true;
-        state.read_at = std::chrono::steady_clock::now();
+        state.read_at = clock_();
         if (state.unresolved_on && *state.unresolved_on != version) {
             state.unresolved_on.reset();
             if (has_landed(state)) {
@@ -305,9 +334,7 @@
         return done{};
     }
 
-    bool is_fresh(const shard_state& state) const {
-        return std::chrono::steady_clock::now() - state.read_at < cache_freshness;
-    }
+    bool is_fresh(const shard_state& state) const { return clock_() - state.read_at < cache_freshness; }
 
     /// Takes over the ledger's view of this incarnation. Precondition: no write may still land.
     void adopt(shard_state& state) {
@@ -355,6 +382,7 @@
     allowance_book& book_;
     Policy policy_;
     std::function<std::size_t()> router_count_;
+    std::function<steady_time()> clock_;
     std::vector<std::unique_ptr<shard_state>> shards_;
 };
 
--- a/include/eelgrassgw/platform/http_object_store.h
+++ b/include/eelgrassgw/platform/http_object_store.h
@@ -20,6 +20,7 @@
     std::uint64_t lists = 0;
     std::uint64_t watches = 0;
     std::uint64_t failures = 0;
+    std::uint64_t body_bytes = 0; ///< Sent and received, without heads.
 };
 
 /// Meets `object_store`. Makes one try a call: the callers own the retries, since only they know what a
@@ -48,6 +49,7 @@
     std::atomic<std::uint64_t> lists_{0};
     std::atomic<std::uint64_t> watches_{0};
     std::atomic<std::uint64_t> failures_{0};
+    std::atomic<std::uint64_t> body_bytes_{0};
 };
 
 } // namespace eelgrassgw
--- a/include/eelgrassgw/recovery/recoverer.h
+++ b/include/eelgrassgw/recovery/recoverer.h
@@ -29,7 +29,7 @@
 /// Asks one agent to seal a router, or tells it which records a journal has.
 struct agent_port {
     std::function<result<seal_answer>(const agent_member&, const std::string& router)> seal;
-    std::function<void(const agent_member&, const std::vector<std::string>& request_ids)> mark_journalled;
+    std::function<bool(const agent_member&, const std::vector<std::string>& request_ids)> mark_journalled;
 };
 
 /// Decides which records of a dead router go into its recovery segment: those that its journal lacks, one
@@ -244,7 +244,11 @@
             }
         }
         failpoint("recovery_ledger_settled");
-        tell_agents(collected);
+        const std::string not_told = tell_agents(collected);
+        if (!not_told.empty()) {
+            note(router, not_told);
+            return recovery_progress{false, not_told};
+        }
         return close_entry(router, in_force.value(), collected);
     }
 
@@ -299,13 +303,16 @@
                            spends_of(recovery.records, shard, ledger_shards_));
     }
 
-    void tell_agents(const collected_records& collected) {
+    /// Agents keep their records until they hear that a journal has them. Returns who did not hear.
+    std::string tell_agents(const collected_records& collected) {
+        std::string not_told;
         for (const agent_member& agent : collected.agents) {
             const auto it = collected.ids_by_agent.find(agent.backend_server);
-            if (it != collected.ids_by_agent.end()) {
-                agents_.mark_journalled(agent, it->second);
+            if (it != collected.ids_by_agent.end() && !agents_.mark_journalled(agent, it->second)) {
+                not_told = "agent \"" + agent.incarnation + "\" to hear that its records are journalled";
             }
         }
+        return not_told;
     }
 
     result<recovery_progress> close_entry(const std::string& router, const journal_segment& recovery,
--- a/include/eelgrassgw/router/internal/router_background.h
+++ b/include/eelgrassgw/router/internal/router_background.h
@@ -279,7 +279,7 @@
         return answer;
     };
     port.mark_journalled = [this](const agent_member& agent, const std::vector<std::string>& ids) {
-        caller_.tell_journalled(agent, ids);
+        return caller_.tell_journalled(agent, ids);
     };
     return port;
 }
--- a/include/eelgrassgw/router/internal/router_callers.h
+++ b/include/eelgrassgw/router/internal/router_callers.h
@@ -328,6 +328,7 @@
         metrics_.set("store_calls", static_cast<double>(counts.removes), {{"kind", "remove"}});
         metrics_.set("store_calls", static_cast<double>(counts.lists), {{"kind", "list"}});
         metrics_.set("store_calls", static_cast<double>(counts.watches), {{"kind", "watch"}});
+        metrics_.set("store_body_bytes", static_cast<double>(counts.body_bytes));
         metrics_.set("store_call_failures", static_cast<double>(counts.failures));
     }
     exchange.send({200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text()});
--- a/include/eelgrassgw/settings/process_settings.h
+++ b/include/eelgrassgw/settings/process_settings.h
@@ -31,13 +31,13 @@
     common_settings common;
     std::vector<endpoint> peers; ///< Routers to ask while the object API is down.
     std::chrono::milliseconds journal_interval{1000};
-    std::chrono::milliseconds fold_interval{5000};
+    std::chrono::milliseconds fold_interval{30000};
     std::chrono::milliseconds heartbeat_interval{5000};
-    std::chrono::milliseconds suspect_after{15000};     ///< Silence after which a router is recovered.
-    std::chrono::milliseconds idle_return_after{30000}; ///< Unused allowances go back after this.
+    std::chrono::milliseconds suspect_after{15000};      ///< Silence after which a router is recovered.
+    std::chrono::milliseconds idle_return_after{300000}; ///< Unused allowances go back after this.
     std::chrono::milliseconds drain_limit{60000};
     std::chrono::milliseconds resolve_limit{5000}; ///< For finding out what became of a sent ticket.
-    std::chrono::seconds grant_horizon{60};
+    std::chrono::seconds grant_horizon{3600};
     tokens smallest_grant = 2000;
     int max_attempts = 3;
     std::size_t max_body_bytes = 1U << 20U;
--- a/src/agent/run_slots.cpp
+++ b/src/agent/run_slots.cpp
@@ -9,6 +9,7 @@
 constexpr std::uint64_t oldest_first_every = 4;
 constexpr double busy_smoothing = 0.1;
 constexpr std::chrono::milliseconds cancel_poll{50};
+constexpr std::chrono::milliseconds longest_promise{60000};
 
 int rank_of(const std::string& priority) {
     if (priority == "high") {
@@ -80,10 +81,12 @@
     admit_next();
 }
 
-std::chrono::milliseconds run_slots::expected_wait() const {
+std::chrono::milliseconds run_slots::promise_place(steady_time now) {
     const std::lock_guard lock(mutex_);
-    const double ahead = static_cast<double>(waiters_.size()) + places_ + 1;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(ahead * mean_busy_ms_ / max_running_) + 1);
+    const std::chrono::milliseconds between_places(static_cast<std::int64_t>(mean_busy_ms_ / max_running_) +
+                                                   1);
+    last_promise_ = std::min(std::max(last_promise_, now) + between_places, now + longest_promise);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(last_promise_ - now);
 }
 
 int run_slots::running() const {
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -54,7 +54,9 @@
 
 result<http_response> http_object_store::call(http_request request, const http_timeouts& timeouts) {
     result<http_response> response = pool_.call(request, timeouts);
-    if (!response) {
+    if (response) {
+        body_bytes_ += request.body.size() + response.value().body.size();
+    } else {
         ++failures_;
     }
     return response;
@@ -149,7 +151,7 @@
 }
 
 store_call_counts http_object_store::counts() const {
-    return {gets_, puts_, removes_, lists_, watches_, failures_};
+    return {gets_, puts_, removes_, lists_, watches_, failures_, body_bytes_};
 }
 
 } // namespace eelgrassgw
--- a/test/recoverer_test.cpp
+++ b/test/recoverer_test.cpp
@@ -64,7 +64,10 @@
             return seal_answer{agent.incarnation, running, records};
         };
         made.mark_journalled = [this](const agent_member&, const std::vector<std::string>&) {
-            records.clear();
+            if (agent_hears) {
+                records.clear();
+            }
+            return agent_hears;
         };
         return made;
     }
@@ -75,6 +78,7 @@
 
     memory_object_store store;
     bool agent_answers = true;
+    bool agent_hears = true;
     int running = 0;
     std::vector<billing_record> records;
 };
@@ -137,6 +141,15 @@
     EXPECT_EQ(ledger().find_budget("main")->withheld, 0);
 }
 
+TEST_F(recoverer_test, ends_only_when_the_agent_has_heard_that_its_records_are_journalled) {
+    records = {make_record("q", 1, 30)};
+    agent_hears = false;
+    EXPECT_FALSE(recover().value().finished);
+    agent_hears = true;
+    EXPECT_TRUE(recover().value().finished);
+    EXPECT_EQ(ledger().find_budget("main")->settled, 30);
+}
+
 TEST_F(recoverer_test, repeated_recovery_changes_nothing) {
     records = {make_record("q", 1, 30)};
     ASSERT_TRUE(recover().value().finished);
--- a/test/system/broken_build_test.cpp
+++ b/test/system/broken_build_test.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::chrono::seconds rest_limit{6}; // A broken build may never come to rest.
 constexpr std::chrono::seconds fault_limit{20};
-constexpr std::chrono::milliseconds longer_than_trusted{3500};
 
 std::vector<std::string> violations_of(const fleet& target, const caller& callers) {
     (void)wait_for_rest(target, rest_limit);
@@ -57,7 +56,7 @@
     (void)callers.chat("router-1", "so that the agent knows the router", "", false);
     std::thread second([&] { (void)callers.chat("router-1", "LENGTH=20 after the seal", "", false); });
     EXPECT_TRUE(wait_until([&] { return target.is_frozen("router-1"); }, fault_limit));
-    std::this_thread::sleep_for(longer_than_trusted);
+    EXPECT_TRUE(wait_until([&] { return has_closed_router(target); }, fault_limit));
     target.send_signal("router-1", SIGCONT);
     second.join();
     EXPECT_FALSE(violations_of(target, callers).empty());
--- a/test/system/checker.cpp
+++ b/test/system/checker.cpp
@@ -2,6 +2,7 @@
 
 #include "test/stand_ins/stand_in_answer.h"
 
+#include <algorithm>
 #include <fstream>
 
 namespace eelgrassgw::test {
@@ -98,6 +99,12 @@
     return waiting;
 }
 
+bool has_closed_router(const fleet& target) {
+    const std::map<std::string, Json::Value> routers = list_objects(target, "routers/");
+    return std::any_of(routers.begin(), routers.end(),
+                       [](const auto& entry) { return string_member(entry.second, "state") == "closed"; });
+}
+
 checker::checker(const fleet& target, const std::vector<observation>& seen, bool records_lost)
     : fleet_(target), seen_(seen), records_lost_(records_lost) {
     read_engines();
--- a/test/system/checker.h
+++ b/test/system/checker.h
@@ -14,6 +14,9 @@
 /// The result names what it still waits for; empty where it is at rest.
 std::string wait_for_rest(const fleet& target, std::chrono::milliseconds longest);
 
+/// Whether a router of the fleet was recovered or stopped as planned.
+bool has_closed_router(const fleet& target);
+
 /// One billing record, as the history of the object API has it.
 struct recorded_bill {
     std::string request_id;
