Repeated keys survive the loss of router and agent; routing over many agents; configuration kept as text

Change: an agent also reads the journals of closed routers; a router lets the policy choose the first agent and sorts the rest by load; a configuration keeps its document as text. Ruled out: asking all routers for each request with a key (32 calls/s and 20 KB/s a daemon at full size).

--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -452,24 +452,21 @@
         log("registered", fields);
     }
 
-    /// Asks every open router which requests it had at this backend server, so that a repeated key is known
-    /// although the predecessor's memory is gone. Until all have answered, tickets with a key are refused.
+    /// Learns which requests ran at this backend server, from the memory of open routers and the journals of
+    /// closed ones, so that a repeated key is known although the predecessor's memory is gone. Until all have
+    /// answered, tickets with a key are refused.
     void rebuild_memory() {
-        const result<std::vector<router_member>> routers = registration_.open_routers();
+        const result<std::vector<router_member>> routers = registration_.routers();
         if (!routers) {
             return;
         }
         bool all_answered = true;
         for (const router_member& router : routers.value()) {
-            Json::Value params;
-            params["backend_server"] = settings_.common.name;
-            const result<Json::Value> reply = call_peer(router.address, settings_.common.fleet_key,
-                                                        "recent_requests", params, http_timeouts{});
-            if (!reply || string_member(reply.value(), "router") != router.incarnation) {
-                all_answered = false;
-                continue;
+            const result<std::vector<std::string>> ids = requests_of(router);
+            all_answered = all_answered && ids.ok();
+            if (ids) {
+                runs_.mark_ran_before(ids.value());
             }
-            runs_.mark_ran_before(texts_of(member(reply.value(), "request_ids")));
         }
         remembers_all_ = all_answered;
         Json::Value fields;
@@ -477,6 +474,24 @@
         log("memory_rebuilt", fields);
     }
 
+    result<std::vector<std::string>> requests_of(const router_member& router) {
+        if (router.state == member_state::closed) {
+            return registration_.journalled_here(router.incarnation);
+        }
+        Json::Value params;
+        params["backend_server"] = settings_.common.name;
+        const result<Json::Value> reply =
+            call_peer(router.address, settings_.common.fleet_key, "recent_requests", params, http_timeouts{});
+        if (!reply) {
+            return reply.error();
+        }
+        if (string_member(reply.value(), "router") != router.incarnation) {
+            return make_failure(errc::refused, "ask for recent requests", router.address.text(),
+                                "router \"" + router.incarnation + "\" was replaced");
+        }
+        return texts_of(member(reply.value(), "request_ids"));
+    }
+
     static std::vector<std::string> texts_of(const Json::Value& list) {
         std::vector<std::string> texts;
         for (const Json::Value& entry : list) {
--- a/include/eelgrassgw/configuration/configuration.h
+++ b/include/eelgrassgw/configuration/configuration.h
@@ -109,10 +109,11 @@
 
     request_limits limits_of(const std::string& customer) const;
 
-    const Json::Value& document() const { return document_; }
+    /// The document as it was accepted. Parsed anew at each call, since it is kept as text.
+    Json::Value document() const;
 
 private:
-    Json::Value document_;
+    std::string document_text_;
     configuration_revision revision_ = 0;
     unsigned ledger_shards_ = 0;
     int max_running_ = 0;
--- a/include/eelgrassgw/configuration/configuration_store.h
+++ b/include/eelgrassgw/configuration/configuration_store.h
@@ -94,7 +94,7 @@
             return done{};
         }
         if (current.value().revision() != base) {
-            const Json::Value& found = current.value().document();
+            const Json::Value found = current.value().document();
             return make_failure(errc::version_conflict, "apply configuration", "",
                                 "revision " + std::to_string(current.value().revision()) + " by \"" +
                                     string_member(found, "changed_by") + "\" is in force (" +
--- a/include/eelgrassgw/membership/agent_registration.h
+++ b/include/eelgrassgw/membership/agent_registration.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassgw/base/hash.h"
 #include "eelgrassgw/base/log.h"
+#include "eelgrassgw/journal/journal_store.h"
 #include "eelgrassgw/membership/member.h"
 
 #include <algorithm>
@@ -69,20 +70,36 @@
         return found.value().state == member_state::live || found.value().state == member_state::draining;
     }
 
-    /// Routers that are not closed.
-    result<std::vector<router_member>> open_routers() {
+    /// All routers that have an entry, closed ones included.
+    result<std::vector<router_member>> routers() {
         const result<object_changes> listed = store_.list(routers_prefix);
         if (!listed) {
             return listed.error();
         }
-        std::vector<router_member> open;
+        std::vector<router_member> found;
         for (const stored_object& object : listed.value().changed) {
             const result<router_member> router = router_member::from_object(object);
-            if (router && router.value().state != member_state::closed) {
-                open.push_back(router.value());
+            if (router) {
+                found.push_back(router.value());
             }
         }
-        return open;
+        return found;
+    }
+
+    /// Requests of a closed router's journal that ran at this backend server.
+    result<std::vector<std::string>> journalled_here(const std::string& router) {
+        const result<journal_contents> journal = journal_store<Store>(store_).read(router);
+        if (!journal) {
+            return journal.error();
+        }
+        std::vector<std::string> ids;
+        for (const journal_segment& segment : journal.value().segments) {
+            add_requests_here(segment, ids);
+        }
+        if (journal.value().recovery) {
+            add_requests_here(*journal.value().recovery, ids);
+        }
+        return ids;
     }
 
     /// Changes the state in the entry. Errors: `fenced` where another incarnation took the entry.
@@ -131,15 +148,26 @@
     }
 
 private:
+    void add_requests_here(const journal_segment& segment, std::vector<std::string>& ids) const {
+        const std::string prefix = self_.backend_server + "-";
+        for (const billing_record& record : segment.records) {
+            if (record.agent.starts_with(prefix)) {
+                ids.push_back(record.request_id);
+            }
+        }
+    }
+
     result<done> note_predecessor(const agent_member& previous) {
         self_.lost = previous.lost;
-        const result<std::vector<router_member>> routers = open_routers();
-        if (!routers) {
-            return routers.error();
+        const result<std::vector<router_member>> listed = routers();
+        if (!listed) {
+            return listed.error();
         }
         std::set<std::string> open;
-        for (const router_member& router : routers.value()) {
-            open.insert(router.incarnation);
+        for (const router_member& router : listed.value()) {
+            if (router.state != member_state::closed) {
+                open.insert(router.incarnation);
+            }
         }
         if (previous.state != member_state::closed) {
             self_.lost.push_back({previous.incarnation, {open.begin(), open.end()}});
--- a/include/eelgrassgw/router/agent_selector.h
+++ b/include/eelgrassgw/router/agent_selector.h
@@ -41,6 +41,8 @@
     };
 
     std::vector<routing_candidate> candidates(const std::vector<agent_member>& agents) const;
+    void order_by_policy(std::vector<agent_member>& agents, const routing_request& request) const;
+    int estimated_load(const agent_member& agent) const;
     bool is_avoided(const agent_member& agent, steady_time now) const;
 
     mutable std::mutex mutex_;
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -20,6 +20,11 @@
     return configuration_parser(document).parse();
 }
 
+Json::Value configuration::document() const {
+    const result<Json::Value> parsed = parse_json(document_text_);
+    return parsed ? parsed.value() : Json::Value();
+}
+
 const service_call* service_definition::find_call(const std::string& call) const {
     return find_named(calls, call);
 }
--- a/src/configuration/configuration_parser.cpp
+++ b/src/configuration/configuration_parser.cpp
@@ -41,7 +41,7 @@
 
 result<configuration> configuration_parser::parse() {
     document_reader in(document_, "configuration");
-    parsed_.document_ = document_;
+    parsed_.document_text_ = to_text(document_);
     parsed_.revision_ = in.integer_or("revision", 0, INT64_MAX, 0);
     in.text_or("changed_by", "nobody");
     in.text_or("reason", "none");
--- a/src/router/agent_selector.cpp
+++ b/src/router/agent_selector.cpp
@@ -31,16 +31,29 @@
     for (agent_member& agent : agents) {
         (is_avoided(agent, now) ? avoided : ordered).push_back(std::move(agent));
     }
-    std::vector<agent_member> remaining = std::exchange(ordered, {});
-    while (!remaining.empty()) {
-        const std::size_t chosen = policy_.choose(candidates(remaining), request);
-        ordered.push_back(remaining[chosen]);
-        remaining.erase(remaining.begin() + static_cast<std::ptrdiff_t>(chosen));
-    }
+    order_by_policy(ordered, request);
     ordered.insert(ordered.end(), avoided.begin(), avoided.end());
     return ordered;
 }
 
+/// The policy's choice first, then the others by load.
+void agent_selector::order_by_policy(std::vector<agent_member>& agents,
+                                     const routing_request& request) const {
+    if (agents.empty()) {
+        return;
+    }
+    const std::size_t chosen = policy_.choose(candidates(agents), request);
+    std::swap(agents.front(), agents[chosen]);
+    std::sort(agents.begin() + 1, agents.end(), [this](const agent_member& a, const agent_member& b) {
+        return estimated_load(a) < estimated_load(b);
+    });
+}
+
+int agent_selector::estimated_load(const agent_member& agent) const {
+    const auto it = memory_.find(agent.incarnation);
+    return it == memory_.end() ? 0 : it->second.in_flight + it->second.reported_load;
+}
+
 std::vector<routing_candidate> agent_selector::candidates(const std::vector<agent_member>& agents) const {
     std::vector<routing_candidate> found;
     for (const agent_member& agent : agents) {
