--- a/bench/allowance_trace.cpp
+++ b/bench/allowance_trace.cpp
@@ -92,6 +92,7 @@
 /// A few customers are large: weights fall as 1, 1/2, 1/3, ...
 int draw_customer(int customers, std::mt19937& random) {
     std::vector<double> weights;
+    weights.reserve(static_cast<std::size_t>(customers));
     for (int i = 0; i < customers; ++i) {
         weights.push_back(1.0 / (i + 1));
     }
--- a/include/eelgrassgw/membership/member.h
+++ b/include/eelgrassgw/membership/member.h
@@ -46,7 +46,6 @@
     endpoint address;
     std::string data_centre;
     member_state state = member_state::live;
-    std::uint64_t heartbeat = 0;
     std::string recovery_note; ///< What recovery still waits for; empty otherwise.
     object_version version = absent_version;
 
--- a/include/eelgrassgw/platform/http_object_store.h
+++ b/include/eelgrassgw/platform/http_object_store.h
@@ -39,6 +39,8 @@
     store_call_counts counts() const;
 
 private:
+    /// Sends a conditional write.
+    result<object_version> write(http_request request, object_version expected);
     result<http_response> call(http_request request, const http_timeouts& timeouts);
 
     http_connection_pool pool_;
--- a/include/eelgrassgw/router/dispatcher.h
+++ b/include/eelgrassgw/router/dispatcher.h
@@ -6,6 +6,7 @@
 #include "eelgrassgw/claim/claim.h"
 #include "eelgrassgw/configuration/configuration_follower.h"
 #include "eelgrassgw/metrics/metrics.h"
+#include "eelgrassgw/router/dispatch_errors.h"
 #include "eelgrassgw/router/settler.h"
 #include "eelgrassgw/settings/process_settings.h"
 
@@ -101,7 +102,7 @@
             const result<std::optional<stored_claim>> existing =
                 claims_.read(order.served_name, order.work.request_id);
             if (!existing) {
-                outcome.error = claim_unreachable(existing.error());
+                outcome.error = claim_unreachable_error(existing.error());
                 return outcome;
             }
             if (existing.value() && !may_take(*existing.value(), order, sink, outcome)) {
@@ -127,7 +128,7 @@
                     tried.pop_back();
                     continue;
                 }
-                outcome.error = claim_unreachable(claimed.error());
+                outcome.error = claim_unreachable_error(claimed.error());
                 note(order, request_state::not_run, outcome.error.message);
                 return outcome;
             }
@@ -162,23 +163,6 @@
         return false;
     }
 
-    static caller_error admission_error(const failure& cause) {
-        caller_error error;
-        error.step = "admission";
-        error.peer = cause.peer;
-        if (cause.code == errc::budget_exhausted || cause.code == errc::not_found) {
-            error.status = 402;
-            error.code = "budget_exhausted";
-            error.message = cause.message + ".";
-            return error;
-        }
-        error.status = 503;
-        error.code = cause.code == errc::fenced ? "router_replaced" : "budget_unreachable";
-        error.message = cause.message + ".";
-        error.retry_after = std::chrono::seconds(2);
-        return error;
-    }
-
     std::vector<agent_member> ordered_agents(const work_order& order) const {
         const auto in_force = configurations_.current();
         return selector_.order(view_.agents_serving(*in_force, order.served_name), order.routing,
@@ -261,28 +245,10 @@
                         t.attempt, record.billed, record.withheld, sent.outcome.message});
     }
 
-    static caller_error ended_error(const call_result& sent, const agent_member& agent) {
-        caller_error error;
-        error.status = 502;
-        error.code = sent.output_kept ? "answer_broken" : "answer_not_kept";
-        error.did_run = sent.outcome.withheld > 0 && sent.outcome.used == 0 ? ran::unknown : ran::yes;
-        error.step = "run";
-        error.peer = agent.incarnation;
-        error.safe_to_repeat = false;
-        error.message = sent.output_kept
-                            ? "The answer broke off: " + sent.outcome.message + "."
-                            : "The request ran under this key before, and its answer is not kept any more.";
-        return error;
-    }
-
     /// Looks at a refusal that forbids to go on. Fills in the error and returns true then.
     bool must_stop_after_refusal(const work_order& order, const call_result& last, dispatch_result& outcome) {
         if (last.code == "key_reused") {
-            outcome.error.status = 422;
-            outcome.error.code = "key_reused";
-            outcome.error.message = last.message + ".";
-            outcome.error.step = "ticket";
-            outcome.error.safe_to_repeat = false;
+            outcome.error = key_reused_error("ticket");
             return true;
         }
         if (last.code == "ran_before") {
@@ -323,60 +289,13 @@
         return false;
     }
 
-    static caller_error unknown_error(const std::string& cause, const std::string& peer, bool safe) {
-        caller_error error;
-        error.status = 504;
-        error.code = "outcome_unknown";
-        error.message = "No certain answer came: " + cause + ".";
-        error.did_run = ran::unknown;
-        error.step = "ticket";
-        error.peer = peer;
-        error.safe_to_repeat = safe;
-        error.retry_after = std::chrono::seconds(5);
-        return error;
-    }
-
-    static caller_error refused_error(const call_result& last) {
-        caller_error error;
-        error.step = "routing";
-        if (last.code == "overloaded") {
-            error.status = 429;
-            error.code = "overloaded";
-            error.message = "All backend servers that were asked are full.";
-            error.retry_after = std::max(last.retry_after, std::chrono::milliseconds(1));
-            return error;
-        }
-        error.status = 503;
-        error.code = "no_backend_server";
-        error.message = "No backend server took the request: " + last.message + ".";
-        error.retry_after = std::chrono::seconds(1);
-        return error;
-    }
-
-    caller_error claim_unreachable(const failure& cause) const {
-        caller_error error;
-        error.status = 503;
-        error.code = "claims_unreachable";
-        error.message = "The call was not sent, since the record that keeps it from running twice cannot be "
-                        "written: " +
-                        cause.text() + ".";
-        error.step = "claim";
-        error.peer = cause.peer;
-        error.retry_after = std::chrono::seconds(2);
-        return error;
-    }
-
     /// Whether the request may be sent under an existing claim. Otherwise fills in the outcome.
     template <class Sink>
     bool may_take(const stored_claim& existing, const work_order& order, Sink& sink,
                   dispatch_result& outcome) {
         const claim& c = existing.value;
         if (c.digest != order.work.digest) {
-            outcome.error.status = 422;
-            outcome.error.code = "key_reused";
-            outcome.error.message = "The idempotency key was used with another body.";
-            outcome.error.step = "claim";
-            outcome.error.safe_to_repeat = false;
+            outcome.error = key_reused_error("claim");
             return false;
         }
         if (c.state == claim_state::done) {
--- a/include/eelgrassgw/router/internal/router_callers.h
+++ b/include/eelgrassgw/router/internal/router_callers.h
@@ -149,7 +149,8 @@
     Json::Value body;
     body["id"] = order.work.request_id;
     body["object"] = "chat.completion";
-    body["created"] = 0;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    body["created"] = Json::Int64(std::chrono::duration_cast<std::chrono::seconds>(now).count());
     body["model"] = chat.model;
     Json::Value choice;
     choice["index"] = 0;
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -16,6 +16,29 @@
                                                      {member_state::sealed, "sealed"},
                                                      {member_state::closed, "closed"}}};
 
+/// What entries of agents and routers have in common.
+struct common_entry {
+    Json::Value document;
+    endpoint address;
+    member_state state = member_state::live;
+};
+
+result<common_entry> read_common(const stored_object& object) {
+    const result<Json::Value> document = parse_json(object.value);
+    if (!document) {
+        return document.error();
+    }
+    const result<endpoint> address = parse_endpoint(string_member(document.value(), "address"));
+    if (!address) {
+        return address.error();
+    }
+    const result<member_state> state = member_state_from_text(string_member(document.value(), "state"));
+    if (!state) {
+        return state.error();
+    }
+    return common_entry{document.value(), address.value(), state.value()};
+}
+
 std::vector<std::string> to_texts(const Json::Value& list) {
     std::vector<std::string> texts;
     for (const Json::Value& entry : list) {
@@ -63,25 +86,18 @@
 }
 
 result<agent_member> agent_member::from_object(const stored_object& object) {
-    const result<Json::Value> document = parse_json(object.value);
-    if (!document) {
-        return document.error();
-    }
-    const result<endpoint> address = parse_endpoint(string_member(document.value(), "address"));
-    if (!address) {
-        return address.error();
-    }
-    const result<member_state> state = member_state_from_text(string_member(document.value(), "state"));
-    if (!state) {
-        return state.error();
+    const result<common_entry> common = read_common(object);
+    if (!common) {
+        return common.error();
     }
+    const Json::Value& from = common.value().document;
     agent_member agent;
-    agent.backend_server = string_member(document.value(), "backend_server");
-    agent.incarnation = string_member(document.value(), "incarnation");
-    agent.address = address.value();
-    agent.data_centre = string_member(document.value(), "data_centre");
-    agent.state = state.value();
-    for (const Json::Value& item : member(document.value(), "lost")) {
+    agent.backend_server = string_member(from, "backend_server");
+    agent.incarnation = string_member(from, "incarnation");
+    agent.address = common.value().address;
+    agent.data_centre = string_member(from, "data_centre");
+    agent.state = common.value().state;
+    for (const Json::Value& item : member(from, "lost")) {
         agent.lost.push_back({string_member(item, "incarnation"), to_texts(member(item, "routers"))});
     }
     agent.version = object.version;
@@ -95,32 +111,23 @@
     to["address"] = address.text();
     to["data_centre"] = data_centre;
     to["state"] = eelgrassgw::to_text(state);
-    to["heartbeat"] = Json::UInt64(heartbeat);
     to["recovery_note"] = recovery_note;
     return eelgrassgw::to_text(to);
 }
 
 result<router_member> router_member::from_object(const stored_object& object) {
-    const result<Json::Value> document = parse_json(object.value);
-    if (!document) {
-        return document.error();
-    }
-    const result<endpoint> address = parse_endpoint(string_member(document.value(), "address"));
-    if (!address) {
-        return address.error();
-    }
-    const result<member_state> state = member_state_from_text(string_member(document.value(), "state"));
-    if (!state) {
-        return state.error();
+    const result<common_entry> common = read_common(object);
+    if (!common) {
+        return common.error();
     }
+    const Json::Value& from = common.value().document;
     router_member router;
-    router.name = string_member(document.value(), "name");
-    router.incarnation = string_member(document.value(), "incarnation");
-    router.address = address.value();
-    router.data_centre = string_member(document.value(), "data_centre");
-    router.state = state.value();
-    router.heartbeat = static_cast<std::uint64_t>(int_member(document.value(), "heartbeat"));
-    router.recovery_note = string_member(document.value(), "recovery_note");
+    router.name = string_member(from, "name");
+    router.incarnation = string_member(from, "incarnation");
+    router.address = common.value().address;
+    router.data_centre = string_member(from, "data_centre");
+    router.state = common.value().state;
+    router.recovery_note = string_member(from, "recovery_note");
     router.version = object.version;
     return router;
 }
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -82,24 +82,17 @@
                                               object_version expected) {
     ++puts_;
     http_request request = object_request("PUT", key);
-    request.headers[expected_version_header] = std::to_string(expected);
     request.body = value;
-    const result<http_response> response = call(request, timeouts_);
-    if (!response) {
-        return response.error();
-    }
-    if (response.value().status == 412) {
-        return conflict(request, pool_.peer(), response.value());
-    }
-    if (response.value().status != 200) {
-        return unexpected_status(request, pool_.peer(), response.value());
-    }
-    return version_of(response.value());
+    return write(std::move(request), expected);
 }
 
 result<done> http_object_store::remove(const std::string& key, object_version expected) {
     ++removes_;
-    http_request request = object_request("DELETE", key);
+    const result<object_version> removed = write(object_request("DELETE", key), expected);
+    return removed ? result<done>(done{}) : removed.error();
+}
+
+result<object_version> http_object_store::write(http_request request, object_version expected) {
     request.headers[expected_version_header] = std::to_string(expected);
     const result<http_response> response = call(request, timeouts_);
     if (!response) {
@@ -111,7 +104,7 @@
     if (response.value().status != 200) {
         return unexpected_status(request, pool_.peer(), response.value());
     }
-    return done{};
+    return version_of(response.value());
 }
 
 result<object_changes> http_object_store::list(const std::string& prefix) {
--- a/src/router/answer_sink.cpp
+++ b/src/router/answer_sink.cpp
@@ -2,15 +2,22 @@
 
 #include "eelgrassgw/base/json.h"
 
+#include <chrono>
+
 namespace eelgrassgw {
 
 namespace {
 
+std::int64_t unix_seconds() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
 Json::Value chunk_event(const std::string& request_id, const std::string& model) {
     Json::Value event;
     event["id"] = request_id;
     event["object"] = "chat.completion.chunk";
-    event["created"] = 0;
+    event["created"] = Json::Int64(unix_seconds());
     event["model"] = model;
     event["choices"] = Json::arrayValue;
     return event;
--- a/test/system/drain_test.cpp
+++ b/test/system/drain_test.cpp
@@ -25,17 +25,11 @@
 }
 
 void send_traffic(caller& callers) {
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
-        threads.emplace_back([&callers, i] {
-            const std::string number = std::to_string(i);
-            (void)callers.chat_until_final("LENGTH=60 " + number, "chat-" + number, i % 2 == 0, answer_limit);
-            (void)callers.book_until_final("booking-" + number, answer_limit);
-        });
-    }
-    for (std::thread& thread : threads) {
-        thread.join();
-    }
+    run_at_once(4, [&](int i) {
+        const std::string number = std::to_string(i);
+        (void)callers.chat_until_final("LENGTH=60 " + number, "chat-" + number, i % 2 == 0, answer_limit);
+        (void)callers.book_until_final("booking-" + number, answer_limit);
+    });
 }
 
 /// A process that stops as planned, and the fault that meets it then.
--- a/test/system/fault_matrix_test.cpp
+++ b/test/system/fault_matrix_test.cpp
@@ -22,24 +22,19 @@
 
 /// Callers with and without keys, streams and whole answers, bookings and lookups, all at once.
 void send_traffic(caller& callers) {
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
-        threads.emplace_back([&callers, i] {
-            const std::string number = std::to_string(i);
+    constexpr int chats = 4;
+    constexpr int bookings = 2;
+    run_at_once(chats + bookings, [&](int i) {
+        const std::string number = std::to_string(i);
+        if (i < chats) {
             (void)callers.chat_until_final("keyed " + number + " LENGTH=30", "chat-" + number, i % 2 == 0,
                                            answer_limit);
             (void)callers.chat("router-1", "plain " + number + " LENGTH=20", "", i % 2 == 0);
-        });
-    }
-    for (int i = 0; i < 2; ++i) {
-        threads.emplace_back([&callers, i] {
-            (void)callers.book_until_final("booking-" + std::to_string(i), answer_limit);
+        } else {
+            (void)callers.book_until_final("booking-" + number, answer_limit);
             (void)callers.position("router-1");
-        });
-    }
-    for (std::thread& thread : threads) {
-        thread.join();
-    }
+        }
+    });
 }
 
 bool failpoint_fired(const fleet& target, const fault_cell& cell) {
--- a/test/system/fleet.cpp
+++ b/test/system/fleet.cpp
@@ -14,8 +14,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace eelgrassgw::test {
 
 namespace {
@@ -25,6 +23,7 @@
 int spawn(const std::vector<std::string>& command, const std::vector<std::string>& environment,
           const std::string& output_file) {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string& argument : command) {
         arguments.push_back(const_cast<char*>(argument.c_str()));
     }
@@ -93,6 +92,17 @@
     return true;
 }
 
+void run_at_once(int count, const std::function<void(int)>& work) {
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        threads.emplace_back([&work, i] { work(i); });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+}
+
 fleet::fleet(const std::vector<std::string>& arguments) : directory_(new_directory()) {
     std::vector<std::string> command = {local_fleet_script(), "up", directory_,
                                         "--build=" + std::string(BUILD_DIR)};
--- a/test/system/fleet.h
+++ b/test/system/fleet.h
@@ -33,6 +33,9 @@
 /// Waits until `holds`. Returns false after `longest`.
 bool wait_until(const std::function<bool()>& holds, std::chrono::milliseconds longest);
 
+/// Runs `work(0)` to `work(count - 1)`, each on a thread of its own, and waits for all.
+void run_at_once(int count, const std::function<void(int)>& work);
+
 /// Used by one thread, except for the const members.
 class fleet {
 public:
--- a/test/system/partition_test.cpp
+++ b/test/system/partition_test.cpp
@@ -27,9 +27,8 @@
 
     /// Keyed chats and bookings, each until it has a final answer, while `fault` goes on.
     void traffic_during(const std::function<void()>& fault) {
-        std::vector<std::thread> threads;
-        for (int i = 0; i < 5; ++i) {
-            threads.emplace_back([this, i] {
+        std::thread traffic([this] {
+            run_at_once(5, [this](int i) {
                 for (int j = 0; j < 4; ++j) {
                     const std::string number = std::to_string(i) + "-" + std::to_string(j);
                     (void)callers->chat_until_final("part " + number + " LENGTH=40", "c-" + number,
@@ -37,12 +36,10 @@
                     (void)callers->book_until_final("b-" + number, answer_limit);
                 }
             });
-        }
+        });
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
         fault();
-        for (std::thread& thread : threads) {
-            thread.join();
-        }
+        traffic.join();
     }
 
     /// A proxy in `mode` for `how_long`.
--- a/test/system/random_run_test.cpp
+++ b/test/system/random_run_test.cpp
@@ -103,10 +103,7 @@
 
 TEST_P(random_run_test, promises_hold) {
     ASSERT_NO_FATAL_FAILURE(start());
-    std::vector<std::thread> threads;
-    for (int i = 0; i < callers_at_once; ++i) {
-        threads.emplace_back([this, i] { send_until_over(i); });
-    }
+    std::thread traffic([this] { run_at_once(callers_at_once, [this](int i) { send_until_over(i); }); });
     std::mt19937 random(GetParam());
     const auto limit = std::chrono::steady_clock::now() + run_time;
     while (std::chrono::steady_clock::now() < limit) {
@@ -114,9 +111,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
     }
     over = true;
-    for (std::thread& thread : threads) {
-        thread.join();
-    }
+    traffic.join();
     EXPECT_EQ(wait_for_rest(*target, rest_limit), "");
     for (const std::string& violation : checker(*target, callers->seen()).violations()) {
         ADD_FAILURE() << "seed " << GetParam() << ": " << violation;
--- a/test/system/whole_path_test.cpp
+++ b/test/system/whole_path_test.cpp
@@ -4,8 +4,6 @@
 
 #include <gtest/gtest.h>
 
-#include <thread>
-
 namespace eelgrassgw::test {
 namespace {
 
@@ -29,24 +27,18 @@
 TEST_F(whole_path_test, thousand_mixed_requests_balance_to_the_token) {
     constexpr int callers_at_once = 10;
     constexpr int requests_each = 100;
-    std::vector<std::thread> threads;
-    for (int i = 0; i < callers_at_once; ++i) {
-        threads.emplace_back([this, i] {
-            for (int j = 0; j < requests_each; ++j) {
-                const std::string number = std::to_string(i) + "-" + std::to_string(j);
-                const std::string router = j % 2 == 0 ? "router-1" : "router-2";
-                if (j % 5 == 4) {
-                    (void)callers.book(router, "lot-" + number);
-                } else {
-                    (void)callers.chat(router, "question " + number, j % 3 == 0 ? "key-" + number : "",
-                                       j % 2 == 1);
-                }
+    run_at_once(callers_at_once, [this](int i) {
+        for (int j = 0; j < requests_each; ++j) {
+            const std::string number = std::to_string(i) + "-" + std::to_string(j);
+            const std::string router = j % 2 == 0 ? "router-1" : "router-2";
+            if (j % 5 == 4) {
+                (void)callers.book(router, "lot-" + number);
+            } else {
+                (void)callers.chat(router, "question " + number, j % 3 == 0 ? "key-" + number : "",
+                                   j % 2 == 1);
             }
-        });
-    }
-    for (std::thread& thread : threads) {
-        thread.join();
-    }
+        }
+    });
     int answered = 0;
     for (const observation& o : callers.seen()) {
         answered += o.whole ? 1 : 0;
@@ -73,15 +65,9 @@
 }
 
 TEST_F(whole_path_test, chat_repeated_at_once_is_run_and_billed_once) {
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 8; ++i) {
-        threads.emplace_back([this, i] {
-            (void)callers.chat(i % 2 == 0 ? "router-1" : "router-2", "at once", "one-key", i % 3 == 0);
-        });
-    }
-    for (std::thread& thread : threads) {
-        thread.join();
-    }
+    run_at_once(8, [this](int i) {
+        (void)callers.chat(i % 2 == 0 ? "router-1" : "router-2", "at once", "one-key", i % 3 == 0);
+    });
     expect_promises_hold();
 }
 
@@ -90,18 +76,12 @@
                   "--smallest_grant=200", "--idle_return_ms=300", "--grant_horizon_s=1"});
     ASSERT_TRUE(target.is_up());
     caller callers(target);
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 9; ++i) {
-        threads.emplace_back([&callers, i] {
-            for (int j = 0; j < 20; ++j) {
-                const std::string text = std::to_string(i) + " asks " + std::to_string(j);
-                (void)callers.chat("router-" + std::to_string(1 + i % 3), text, "", false);
-            }
-        });
-    }
-    for (std::thread& thread : threads) {
-        thread.join();
-    }
+    run_at_once(9, [&callers](int i) {
+        for (int j = 0; j < 20; ++j) {
+            const std::string text = std::to_string(i) + " asks " + std::to_string(j);
+            (void)callers.chat("router-" + std::to_string(1 + i % 3), text, "", false);
+        }
+    });
     EXPECT_EQ(wait_for_rest(target, rest_limit), "");
     for (const std::string& violation : checker(target, callers.seen()).violations()) {
         ADD_FAILURE() << violation;
@@ -122,14 +102,7 @@
 }
 
 TEST_F(whole_path_test, booking_repeated_at_once_takes_effect_once) {
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 8; ++i) {
-        threads.emplace_back(
-            [this, i] { (void)callers.book(i % 2 == 0 ? "router-1" : "router-2", "one-lot"); });
-    }
-    for (std::thread& thread : threads) {
-        thread.join();
-    }
+    run_at_once(8, [this](int i) { (void)callers.book(i % 2 == 0 ? "router-1" : "router-2", "one-lot"); });
     expect_promises_hold();
 }
 
