A request with the caller's key runs at one agent: no second bill after an overload

Cause: a full first agent refused a keyed request, which then ran at the next one; when the key was repeated later through another router the first agent had room and ran it again. Ruled out: marks at the refusing agents (they would bar a key for good where every agent had refused). Change: a keyed request goes on to another agent only where the earlier ones will never run it (draining, barred); an agent that restarts learns all keys of open routers and closed journals. Resumption has a system test.

--- a/include/eelgrassgw/membership/agent_registration.h
+++ b/include/eelgrassgw/membership/agent_registration.h
@@ -6,6 +6,7 @@
 #include "eelgrassgw/base/log.h"
 #include "eelgrassgw/journal/journal_store.h"
 #include "eelgrassgw/membership/member.h"
+#include "eelgrassgw/run/request_id.h"
 
 #include <algorithm>
 #include <mutex>
@@ -86,7 +87,7 @@
         return found;
     }
 
-    /// Requests of a closed router's journal that ran at this backend server.
+    /// Requests of a closed router's journal that ran at this backend server, and all with a caller's key.
     result<std::vector<std::string>> journalled_here(const std::string& router) {
         const result<journal_contents> journal = journal_store<Store>(store_).read(router);
         if (!journal) {
@@ -151,7 +152,7 @@
     void add_requests_here(const journal_segment& segment, std::vector<std::string>& ids) const {
         const std::string prefix = self_.backend_server + "-";
         for (const billing_record& record : segment.records) {
-            if (record.agent.starts_with(prefix)) {
+            if (record.agent.starts_with(prefix) || has_caller_key(record.request_id)) {
                 ids.push_back(record.request_id);
             }
         }
--- a/include/eelgrassgw/router/caller_request.h
+++ b/include/eelgrassgw/router/caller_request.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassgw/router/caller_error.h"
 #include "eelgrassgw/router/dispatcher.h"
+#include "eelgrassgw/run/request_id.h"
 
 #include <variant>
 
@@ -40,9 +41,6 @@
 /// Finds the customer of the `Authorization` header.
 read_result<caller_identity> read_identity(const http_request& request, const configuration& in_force);
 
-/// The id of a request: from the customer's own key, the same at every router, or random.
-std::string request_id_for(const std::string& customer, const std::string& idempotency_key);
-
 /// An error that was found before anything was reserved.
 caller_error bad_request(int status, const std::string& code, const std::string& message);
 
--- a/include/eelgrassgw/router/dispatch_errors.h
+++ b/include/eelgrassgw/router/dispatch_errors.h
@@ -19,6 +19,9 @@
 /// Every agent that was asked refused. The request did not run.
 caller_error refused_error(const call_result& last);
 
+/// The one agent that would know an earlier run under the same key cannot say.
+caller_error earlier_run_unknown_error(const call_result& last);
+
 /// The run ended without a whole answer.
 caller_error ended_error(const call_result& sent, const agent_member& agent);
 
--- a/include/eelgrassgw/router/dispatcher.h
+++ b/include/eelgrassgw/router/dispatcher.h
@@ -36,7 +36,6 @@
     std::function<void()> refresh_configuration;
     std::function<bool(const std::string& budget, tokens amount)>
         reclaim; ///< Asks other holders to give back.
-    std::function<bool(const std::string& request_id)> is_unknown_to_peers; ///< All peers say "never seen".
 };
 
 /// Thread-safe: one call for each request, on the connection's own thread.
@@ -258,17 +257,19 @@
             outcome.error.retry_after = {};
             return true;
         }
-        const bool memory_missing = last.end == call_end::not_sent || last.code == "agent_restarted" ||
-                                    last.code == "rebuilding" || last.code == "not_registered";
-        if (order.has_caller_key && memory_missing && !port_.is_unknown_to_peers(order.work.request_id)) {
-            outcome.error = unknown_error(last.message, "", true);
-            outcome.error.code = "earlier_run_unknown";
-            outcome.error.message =
-                "An earlier request with the same key may have run at a backend server that "
-                "cannot be asked at the moment.";
-            return true;
+        // A request with the caller's key runs at the first agent of its order, or at a later one only where
+        // the earlier ones never will run it: else a repetition could run a second time.
+        if (!order.has_caller_key || last.code == "stale_configuration" || is_barred_for_good(last)) {
+            return false;
         }
-        return false;
+        const bool surely_not_run =
+            last.end == call_end::ended || last.code == "overloaded" || last.code == "fenced";
+        outcome.error = surely_not_run ? refused_error(last) : earlier_run_unknown_error(last);
+        return true;
+    }
+
+    static bool is_barred_for_good(const call_result& last) {
+        return last.code == "draining" || last.code == "barred";
     }
 
     /// Leaves a ticket with an open outcome to the settler. Returns whether another agent may be tried.
--- a/include/eelgrassgw/router/internal/router_background.h
+++ b/include/eelgrassgw/router/internal/router_background.h
@@ -15,9 +15,6 @@
     port.reclaim = [this](const std::string& budget, tokens amount) {
         return reclaim(budget, amount);
     };
-    port.is_unknown_to_peers = [this](const std::string& id) {
-        return is_unknown_to_peers(id);
-    };
     dispatcher_ =
         std::make_unique<dispatcher<Store, session>>(store_, settings_, configurations_, view_, selector_,
                                                      requests_, caller_, late_, metrics_, std::move(port));
--- a/include/eelgrassgw/router/internal/router_peers.h
+++ b/include/eelgrassgw/router/internal/router_peers.h
@@ -31,7 +31,8 @@
         const std::shared_ptr<session> own = current_session();
         reply["router"] = own == nullptr ? "" : own->incarnation();
         reply["request_ids"] = Json::arrayValue;
-        for (const std::string& id : requests_.requests_at(string_member(params, "backend_server"))) {
+        for (const std::string& id :
+             requests_.requests_to_remember(string_member(params, "backend_server"))) {
             reply["request_ids"].append(id);
         }
         return reply;
@@ -84,48 +85,6 @@
     return returned > 0;
 }
 
-template <object_store Store>
-bool router<Store>::is_unknown_to_peers(const std::string& request_id) {
-    const std::shared_ptr<session> own = current_session();
-    for (const router_member& peer : view_.routers()) {
-        if (peer.incarnation == own->incarnation()) {
-            continue;
-        }
-        if (peer.state == member_state::sealed) {
-            return false;
-        }
-        if (peer.state == member_state::closed) {
-            if (is_billed_in_closed_journal(peer.incarnation, request_id)) {
-                return false;
-            }
-            continue;
-        }
-        Json::Value params;
-        params["request_id"] = request_id;
-        const result<Json::Value> reply =
-            call_peer(peer.address, settings_.common.fleet_key, "find_request", params, http_timeouts{});
-        if (!reply || bool_member(reply.value(), "known", true)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-template <object_store Store>
-bool router<Store>::is_billed_in_closed_journal(const std::string& router_incarnation,
-                                                const std::string& request_id) {
-    const result<journal_contents> journal = journal_store<Store>(store_).read(router_incarnation);
-    if (!journal || journal.value().has_bill(request_id)) {
-        return true; // A journal that cannot be read may have it.
-    }
-    if (!journal.value().recovery) {
-        return false;
-    }
-    const auto& records = journal.value().recovery->records;
-    return std::any_of(records.begin(), records.end(),
-                       [&](const billing_record& record) { return record.request_id == request_id; });
-}
-
 /// While the object API is down: adopts the highest configuration that any known router shows.
 template <object_store Store>
 void router<Store>::ask_peers_for_configuration() {
--- a/include/eelgrassgw/router/request_table.h
+++ b/include/eelgrassgw/router/request_table.h
@@ -35,8 +35,9 @@
     explicit request_table(std::size_t most) : most_(most) {}
 
     void note(const std::string& request_id, const request_entry& entry);
-    /// Ids of requests that ran or may have run at an incarnation of the agent of `backend_server`.
-    std::vector<std::string> requests_at(const std::string& backend_server) const;
+    /// Ids of requests that ran or may have run at an incarnation of the agent of `backend_server`, and of
+    /// all with the caller's own key, wherever they ran: the agent may be the first in their order.
+    std::vector<std::string> requests_to_remember(const std::string& backend_server) const;
 
     std::optional<request_entry> find(const std::string& request_id) const;
 
--- a/include/eelgrassgw/router/router.h
+++ b/include/eelgrassgw/router/router.h
@@ -59,8 +59,6 @@
     void add_rpc_methods();
     Json::Value give_back(const Json::Value& params);
     bool reclaim(const std::string& budget, tokens amount);
-    bool is_unknown_to_peers(const std::string& request_id);
-    bool is_billed_in_closed_journal(const std::string& router_incarnation, const std::string& request_id);
 
     // Background work.
     std::shared_ptr<session> open_session();
--- a/src/router/caller_request.cpp
+++ b/src/router/caller_request.cpp
@@ -120,12 +120,4 @@
     return caller_identity{owner.customer->name, owner.budget};
 }
 
-std::string request_id_for(const std::string& customer, const std::string& idempotency_key) {
-    constexpr std::size_t id_digits = 32;
-    if (idempotency_key.empty()) {
-        return "r-" + random_id() + random_id();
-    }
-    return "k-" + sha256_hex(customer + "\n" + idempotency_key).substr(0, id_digits);
-}
-
 } // namespace eelgrassgw
--- a/src/router/dispatch_errors.cpp
+++ b/src/router/dispatch_errors.cpp
@@ -86,6 +86,16 @@
     return error;
 }
 
+caller_error earlier_run_unknown_error(const call_result& last) {
+    caller_error error = unknown_error(last.message, "", true);
+    error.code = "earlier_run_unknown";
+    error.message =
+        "An earlier request with the same key may have run at a backend server that cannot be asked at "
+        "the moment: " +
+        last.message + ".";
+    return error;
+}
+
 caller_error key_reused_error(const std::string& step) {
     caller_error error;
     error.status = 422;
--- a/src/router/request_table.cpp
+++ b/src/router/request_table.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassgw/router/request_table.h"
 
+#include "eelgrassgw/run/request_id.h"
+
 namespace eelgrassgw {
 
 const char* to_text(request_state state) {
@@ -43,12 +45,13 @@
     }
 }
 
-std::vector<std::string> request_table::requests_at(const std::string& backend_server) const {
+std::vector<std::string> request_table::requests_to_remember(const std::string& backend_server) const {
     const std::string prefix = backend_server + "-";
     const std::lock_guard lock(mutex_);
     std::vector<std::string> found;
     for (const auto& [id, entry] : entries_) {
-        if (entry.state != request_state::not_run && entry.agent.starts_with(prefix)) {
+        const bool matters = entry.agent.starts_with(prefix) || has_caller_key(id);
+        if (entry.state != request_state::not_run && matters) {
             found.push_back(id);
         }
     }
--- a/test/system/caller.cpp
+++ b/test/system/caller.cpp
@@ -51,8 +51,7 @@
     return seen_;
 }
 
-observation caller::chat(const std::string& router, const std::string& prompt, const std::string& key,
-                         bool stream) {
+http_request caller::make_chat(const std::string& prompt, const std::string& key, bool stream) const {
     http_request request = make_request("POST", "/v1/chat/completions", key);
     Json::Value body;
     body["model"] = "lagoon-1";
@@ -60,6 +59,12 @@
     body["messages"][0]["role"] = "user";
     body["messages"][0]["content"] = prompt;
     request.body = to_text(body);
+    return request;
+}
+
+observation caller::chat(const std::string& router, const std::string& prompt, const std::string& key,
+                         bool stream) {
+    const http_request request = make_chat(prompt, key, stream);
     observation noted;
     noted.kind = "chat";
     noted.prompt = prompt + "\n";
@@ -67,6 +72,16 @@
     return note(stream ? send_streamed(router, request, noted) : send(router, request, noted));
 }
 
+observation caller::resume(const std::string& router, const std::string& prompt, const std::string& key,
+                           std::size_t offset) {
+    http_request request = make_chat(prompt, key, true);
+    request.headers["resume-offset"] = std::to_string(offset);
+    observation noted;
+    noted.kind = "resume";
+    noted.request_id = id_of_key(fleet_, key);
+    return note(send_streamed(router, request, noted));
+}
+
 observation caller::book(const std::string& router, const std::string& key) {
     http_request request = make_request("POST", "/v1/services/booking/book", key);
     request.body = "{\"lot\":17}";
--- a/test/system/caller.h
+++ b/test/system/caller.h
@@ -28,6 +28,9 @@
 
     observation chat(const std::string& router, const std::string& prompt, const std::string& key,
                      bool stream);
+    /// Goes on with an earlier streamed chat from `offset` bytes of its text.
+    observation resume(const std::string& router, const std::string& prompt, const std::string& key,
+                       std::size_t offset);
     observation book(const std::string& router, const std::string& key);
     observation position(const std::string& router);
 
@@ -39,6 +42,7 @@
     std::vector<observation> seen() const;
 
 private:
+    http_request make_chat(const std::string& prompt, const std::string& key, bool stream) const;
     http_request make_request(const std::string& method, const std::string& path,
                               const std::string& key) const;
     observation send(const std::string& router, const http_request& request, observation noted);
--- a/test/system/repeated_key_test.cpp
+++ b/test/system/repeated_key_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <thread>
 
 namespace eelgrassgw::test {
 namespace {
@@ -60,5 +61,25 @@
     expect_promises_hold();
 }
 
+TEST(repeated_key_overload_test, key_that_was_refused_for_overload_is_run_and_billed_once) {
+    fleet target({"--routers=2", "--engines=2", "--services=1", "--max_running=1", "--max_queued=0"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    constexpr int keys = 6;
+    std::thread busy([&] { (void)callers.chat("router-1", "LENGTH=200 keeps one engine busy", "", false); });
+    EXPECT_TRUE(wait_until([&] { return target.metric("router-1", "requests_in_flight") > 0; }, limit));
+    for (int i = 0; i < keys; ++i) {
+        (void)callers.chat("router-1", "LENGTH=2", "key-" + std::to_string(i), false);
+    }
+    busy.join();
+    for (int i = 0; i < keys; ++i) {
+        EXPECT_TRUE(callers.chat("router-2", "LENGTH=2", "key-" + std::to_string(i), false).whole);
+    }
+    EXPECT_EQ(wait_for_rest(target, limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
 } // namespace
 } // namespace eelgrassgw::test
--- a/test/system/whole_path_test.cpp
+++ b/test/system/whole_path_test.cpp
@@ -55,6 +55,15 @@
     expect_promises_hold();
 }
 
+TEST_F(whole_path_test, broken_stream_is_resumed_at_another_router) {
+    constexpr std::size_t had = 25;
+    const observation whole = callers.chat("router-1", "resumed LENGTH=20", "one-key", true);
+    const observation rest = callers.resume("router-2", "resumed LENGTH=20", "one-key", had);
+    EXPECT_TRUE(rest.whole) << rest.code;
+    EXPECT_EQ(rest.text, whole.text.substr(had));
+    expect_promises_hold();
+}
+
 TEST_F(whole_path_test, key_with_another_body_is_refused) {
     (void)callers.chat("router-1", "one body", "same-key", false);
     EXPECT_EQ(callers.chat("router-2", "another body", "same-key", false).code, "key_reused");
