--- /dev/null
+++ b/test/allowance_policy_test.cpp
@@ -0,0 +1,41 @@
+#include "eelgrassgw/ledger/allowance_policy.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw {
+namespace {
+
+grant_situation situation(tokens needed, tokens free, double rate) {
+    grant_situation s;
+    s.needed = needed;
+    s.free = free;
+    s.unspent = free;
+    s.routers = 4;
+    s.spend_rate_per_second = rate;
+    return s;
+}
+
+TEST(allowance_policy_test, need_beyond_what_is_free_is_not_granted) {
+    EXPECT_EQ(demand_policy{}.grant_size(situation(101, 100, 0)), 0);
+}
+
+TEST(allowance_policy_test, grant_is_at_least_the_need) {
+    EXPECT_GE(demand_policy{}.grant_size(situation(90, 100, 0)), 90);
+}
+
+TEST(allowance_policy_test, grant_covers_the_horizon_where_the_budget_allows) {
+    EXPECT_EQ(demand_policy{}.grant_size(situation(10, 100000000, 2)), 7200);
+}
+
+TEST(allowance_policy_test, grant_is_at_most_the_share_of_an_equal_part) {
+    EXPECT_EQ(demand_policy{}.grant_size(situation(10, 1000, 100)), 200);
+}
+
+TEST(allowance_policy_test, grant_is_never_beyond_what_is_free) {
+    grant_situation s = situation(10, 50, 100);
+    s.unspent = 1000000;
+    EXPECT_EQ(demand_policy{}.grant_size(s), 50);
+}
+
+} // namespace
+} // namespace eelgrassgw
