--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -214,11 +214,7 @@
             slots_.leave_queue();
             return accepted;
         }
-        ++run_threads_;
-        std::thread([this, the_run = accepted.value().the_run] {
-            execute(*the_run);
-            --run_threads_;
-        }).detach();
+        std::thread([this, the_run = accepted.value().the_run] { execute(*the_run); }).detach();
         return accepted;
     }
 
@@ -555,7 +551,6 @@
     std::atomic<bool> remembers_all_{false};
     std::atomic<bool> fenced_{false};
     std::atomic<bool> stopping_{false};
-    std::atomic<int> run_threads_{0};
     std::unique_ptr<http_server> server_;
     std::thread maintenance_;
 };
--- a/include/eelgrassgw/ledger/ledger_client.h
+++ b/include/eelgrassgw/ledger/ledger_client.h
@@ -75,8 +75,10 @@
                 continue;
             }
             const unsigned number = number_of(*state);
-            const result<done> folded =
-                update(*state, [&](ledger_shard& shard) { return refill(shard, number); });
+            const result<done> folded = update(*state, [&](ledger_shard& shard) {
+                refill(shard, number);
+                return result<done>(done{});
+            });
             if (!folded && outcome) {
                 outcome = folded;
             }
@@ -207,7 +209,7 @@
     }
 
     /// Asks for more on budgets in use before they run dry, so that an outage finds the router provided.
-    result<done> refill(ledger_shard& shard, unsigned number) {
+    void refill(ledger_shard& shard, unsigned number) {
         for (const std::string& budget : book_.budgets()) {
             const bool is_here = shard_of(budget, shard_count()) == number;
             if (!is_here || book_.spend_rate(budget, clock_()) < least_refill_rate) {
@@ -215,12 +217,10 @@
             }
             const grant_situation situation = situation_of(shard, budget, 0);
             const tokens size = policy_.grant_size(situation);
-            const bool is_low = size > situation.available;
-            if (is_low && shard.grant(incarnation_, budget, size).failed_with(errc::fenced)) {
-                return make_failure(errc::fenced, "refill", "", "holder \"" + incarnation_ + "\" is closed");
+            if (size > situation.available) {
+                (void)shard.grant(incarnation_, budget, size); // Without it the next request asks.
             }
         }
-        return done{};
     }
 
     /// Applies `change`, together with all folds that are due, by a conditional write.
--- a/include/eelgrassgw/recovery/recoverer.h
+++ b/include/eelgrassgw/recovery/recoverer.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace eelgrassgw {
 
@@ -69,6 +70,10 @@
     /// middle of its first grant in a shard and woke up after its recovery; agents have sealed it, so none of
     /// it is spent. The result is the number of holders.
     result<std::size_t> release_strays() {
+        const result<std::set<std::string>> closed = closed_routers();
+        if (!closed) {
+            return closed.error();
+        }
         std::size_t released = 0;
         for (unsigned i = 0; i < ledger_shards_; ++i) {
             const result<std::optional<stored_object>> object = store_.get(ledger_key(i));
@@ -78,7 +83,7 @@
             if (!object.value()) {
                 continue;
             }
-            const result<std::size_t> in_shard = release_strays_in(*object.value());
+            const result<std::size_t> in_shard = release_strays_in(*object.value(), closed.value());
             if (!in_shard) {
                 return in_shard;
             }
@@ -88,15 +93,29 @@
     }
 
 private:
-    result<std::size_t> release_strays_in(const stored_object& object) {
+    result<std::set<std::string>> closed_routers() {
+        const result<object_changes> listed = store_.list(routers_prefix);
+        if (!listed) {
+            return listed.error();
+        }
+        std::set<std::string> closed;
+        for (const stored_object& object : listed.value().changed) {
+            const result<router_member> router = router_member::from_object(object);
+            if (router && router.value().state == member_state::closed) {
+                closed.insert(router.value().incarnation);
+            }
+        }
+        return closed;
+    }
+
+    result<std::size_t> release_strays_in(const stored_object& object, const std::set<std::string>& closed) {
         result<ledger_shard> ledger = ledger_shard::from_text(object.value);
         if (!ledger) {
             return ledger.error();
         }
         std::vector<std::string> strays;
         for (const auto& [holder, held] : ledger.value().holders()) {
-            const result<router_member> entry = read_entry(holder);
-            if (entry && entry.value().state == member_state::closed) {
+            if (closed.contains(holder)) {
                 strays.push_back(holder);
             }
         }
--- a/include/eelgrassgw/run/run.h
+++ b/include/eelgrassgw/run/run.h
@@ -37,9 +37,6 @@
     /// Waits up to `longest` for output behind `offset` or for the end.
     run_progress wait(std::size_t offset, std::chrono::milliseconds longest);
 
-    /// Waits for the end. Returns false where it does not come within `longest`.
-    bool wait_for_end(std::chrono::milliseconds longest);
-
     run_outcome outcome() const;
     std::size_t output_size() const;
 
--- a/src/run/run.cpp
+++ b/src/run/run.cpp
@@ -43,11 +43,6 @@
     return progress;
 }
 
-bool run::wait_for_end(std::chrono::milliseconds longest) {
-    std::unique_lock lock(mutex_);
-    return changed_.wait_for(lock, longest, [&] { return is_final(outcome_.state); });
-}
-
 run_outcome run::outcome() const {
     const std::lock_guard lock(mutex_);
     return outcome_;
--- a/test/stand_ins/fault_proxy.cpp
+++ b/test/stand_ins/fault_proxy.cpp
@@ -158,7 +158,7 @@
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     using namespace eelgrassgw;
-    const sigset_t stops = stand_in::block_stop_signals();
+    const sigset_t stops = block_stop_signals();
     (void)stops;
     stand_in::fault_proxy proxy(parse_endpoint(FLAGS_listen).value(), parse_endpoint(FLAGS_target).value());
     std::thread([&proxy] { proxy.run(); }).detach();
--- a/test/stand_ins/stand_in.h
+++ b/test/stand_ins/stand_in.h
@@ -4,24 +4,13 @@
 
 #include "eelgrassgw/transport/http_client.h"
 #include "eelgrassgw/transport/http_server.h"
+#include "src/main/daemon.h"
 
-#include <csignal>
 #include <cstdio>
 #include <unistd.h>
 
 namespace eelgrassgw::stand_in {
 
-/// Blocks SIGTERM and SIGINT in this thread and all later ones.
-inline sigset_t block_stop_signals() {
-    std::signal(SIGPIPE, SIG_IGN);
-    sigset_t stops;
-    sigemptyset(&stops);
-    sigaddset(&stops, SIGTERM);
-    sigaddset(&stops, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &stops, nullptr);
-    return stops;
-}
-
 /// Serves `handler` on `listen` until SIGTERM, then ends the process; streams in flight are cut off.
 inline int serve(const std::string& listen, http_handler handler) {
     const sigset_t stops = block_stop_signals();
