--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -6,6 +6,7 @@
 #include "eelgrassgw/agent/run_slots.h"
 #include "eelgrassgw/base/failpoint.h"
 #include "eelgrassgw/membership/agent_registration.h"
+#include "eelgrassgw/membership/recent_requests.h"
 #include "eelgrassgw/metrics/metrics.h"
 #include "eelgrassgw/run/run_table.h"
 #include "eelgrassgw/settings/process_settings.h"
@@ -24,7 +25,7 @@
 public:
     agent(Store& store, Backend& backend, const agent_settings& settings)
         : backend_(backend), settings_(settings), incarnation_(settings.common.name + "-" + random_id()),
-          registration_(store, make_member()),
+          registration_(store, make_member()), memory_(store),
           runs_({settings.output_retention, settings.record_retention, 64U << 20U}),
           slots_(settings.max_running, settings.max_queued) {
         add_rpc_methods();
@@ -56,10 +57,7 @@
                std::chrono::steady_clock::now() < limit) {
             std::this_thread::sleep_for(poll_interval);
         }
-        const bool clean = runs_.active().empty() && runs_.all_journalled();
-        if (clean) {
-            (void)registration_.set_state(member_state::closed);
-        }
+        const bool clean = runs_.active().empty() && runs_.all_journalled() && leave_memory(limit);
         stopping_ = true;
         maintenance_.join();
         Json::Value fields;
@@ -71,6 +69,21 @@
     const std::string& incarnation() const { return incarnation_; }
 
 private:
+    /// Writes down which requests ran here, then closes the entry. Tries until `limit`.
+    bool leave_memory(steady_time limit) {
+        for (;;) {
+            const result<done> written = memory_.write(settings_.common.name, runs_.keyed_requests());
+            failpoint("agent_memory_written");
+            if (written && registration_.set_state(member_state::closed)) {
+                return true;
+            }
+            if (std::chrono::steady_clock::now() >= limit) {
+                return false;
+            }
+            std::this_thread::sleep_for(poll_interval);
+        }
+    }
+
     static constexpr std::chrono::milliseconds poll_interval{50};
     static constexpr std::chrono::milliseconds reader_wait{500};
 
@@ -156,9 +169,7 @@
             refuse(exchange, 409, "not_registered", "this agent has no registration in force", poll_interval);
             return false;
         }
-        configuration_revision known = revision_;
-        while (known < t.revision && !revision_.compare_exchange_weak(known, t.revision)) {
-        }
+        const configuration_revision known = adopt_configuration(t);
         if (t.revision < known) {
             refuse(exchange, 409, "stale_configuration",
                    "the ticket has revision " + std::to_string(t.revision) + ", revision " +
@@ -174,6 +185,18 @@
         return check_router(t.router, exchange);
     }
 
+    /// Takes over a newer revision and the limit that goes with it. Returns the revision in force.
+    configuration_revision adopt_configuration(const ticket& t) {
+        const std::lock_guard lock(mutex_);
+        if (t.revision > revision_) {
+            revision_ = t.revision;
+            if (t.max_running > 0) {
+                slots_.limit_running(t.max_running);
+            }
+        }
+        return revision_;
+    }
+
     bool check_router(const std::string& router, http_exchange& exchange) {
         {
             const std::lock_guard lock(mutex_);
@@ -355,10 +378,13 @@
         reply["agent"] = incarnation_;
         reply["known"] = status.known;
         reply["tombstoned"] = status.tombstoned;
+        reply["ran_before"] = status.ran_before;
+        reply["remembers_all"] = remembers_all_.load();
         if (status.the_run != nullptr) {
             reply["router"] = status.the_run->work().router;
             reply["nonce"] = status.the_run->work().nonce;
             reply["customer"] = status.the_run->work().customer;
+            reply["digest"] = status.the_run->work().digest;
             reply["outcome"] = status.the_run->outcome().to_json();
         }
         return reply;
@@ -448,52 +474,30 @@
         log("registered", fields);
     }
 
-    /// Learns which requests ran at this backend server, from the memory of open routers and the journals of
-    /// closed ones, so that a repeated key is known although the predecessor's memory is gone. Until all have
-    /// answered, tickets with a key are refused.
+    /// Learns which requests ran at this backend server, so that a repeated key is known although the
+    /// predecessor's memory is gone. Until all have answered, tickets with a key are refused.
     void rebuild_memory() {
-        const result<std::vector<router_member>> routers = registration_.routers();
-        if (!routers) {
-            return;
+        const result<std::vector<std::string>> ids = memory_.collect(
+            settings_.common.name, [this](const router_member& router) { return ask_router(router); });
+        if (ids) {
+            runs_.mark_ran_before(ids.value());
         }
-        bool all_answered = true;
-        for (const router_member& router : routers.value()) {
-            const result<std::vector<std::string>> ids = requests_of(router);
-            all_answered = all_answered && ids.ok();
-            if (ids) {
-                runs_.mark_ran_before(ids.value());
-            }
-        }
-        remembers_all_ = all_answered;
+        remembers_all_ = ids.ok();
         Json::Value fields;
-        fields["complete"] = all_answered;
+        fields["complete"] = ids.ok();
+        fields["reason"] = ids ? "" : ids.error().text();
         log("memory_rebuilt", fields);
     }
 
-    result<std::vector<std::string>> requests_of(const router_member& router) {
-        if (router.state == member_state::closed) {
-            return registration_.journalled_here(router.incarnation);
-        }
+    /// The question carries this agent's entry: a router that answers it knows this agent from then on, so
+    /// that no repeated key passes it by.
+    result<std::vector<std::string>> ask_router(const router_member& router) {
+        const agent_member self = registration_.self();
         Json::Value params;
-        params["backend_server"] = settings_.common.name;
-        const result<Json::Value> reply =
-            call_peer(router.address, settings_.common.fleet_key, "recent_requests", params, http_timeouts{});
-        if (!reply) {
-            return reply.error();
-        }
-        if (string_member(reply.value(), "router") != router.incarnation) {
-            return make_failure(errc::refused, "ask for recent requests", router.address.text(),
-                                "router \"" + router.incarnation + "\" was replaced");
-        }
-        return texts_of(member(reply.value(), "request_ids"));
-    }
-
-    static std::vector<std::string> texts_of(const Json::Value& list) {
-        std::vector<std::string> texts;
-        for (const Json::Value& entry : list) {
-            texts.push_back(entry.asString());
-        }
-        return texts;
+        params["backend_server"] = self.backend_server;
+        params["entry"] = self.to_text();
+        params["version"] = Json::UInt64(self.version);
+        return ask_recent_requests(router, settings_.common.fleet_key, params);
     }
 
     void check_vm_list() {
@@ -540,6 +544,7 @@
     const agent_settings settings_;
     const std::string incarnation_;
     agent_registration<Store> registration_;
+    request_memory<Store> memory_;
     run_table runs_;
     run_slots slots_;
     metrics_registry metrics_;
--- a/include/eelgrassgw/agent/run_slots.h
+++ b/include/eelgrassgw/agent/run_slots.h
@@ -16,7 +16,12 @@
 /// no priority starves.
 class run_slots {
 public:
-    run_slots(int max_running, int max_queued) : max_running_(max_running), max_queued_(max_queued) {}
+    run_slots(int max_running, int max_queued)
+        : most_running_(max_running), max_queued_(max_queued), max_running_(max_running) {}
+
+    /// Lowers the number of runs at once to `most`, or raises it again, up to that of the construction. Runs
+    /// that go on are not cut off.
+    void limit_running(int most);
 
     /// A place in the queue. Returns false where the queue is full.
     bool enter_queue();
@@ -47,12 +52,13 @@
 
     void admit_next();
 
-    const int max_running_;
+    const int most_running_;
     const int max_queued_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::list<waiter> waiters_;
     int places_ = 0; ///< Promised by `enter_queue` and not yet waiting.
+    int max_running_;
     int running_ = 0;
     std::uint64_t arrivals_ = 0;
     std::uint64_t admissions_ = 0;
--- a/include/eelgrassgw/base/json.h
+++ b/include/eelgrassgw/base/json.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace eelgrassgw {
 
@@ -31,6 +32,9 @@
 /// The boolean member `name` of `object`, or `fallback` where it is absent or no boolean.
 bool bool_member(const Json::Value& object, const char* name, bool fallback = false);
 
+/// The strings of an array; empty where `list` is none.
+std::vector<std::string> texts_of(const Json::Value& list);
+
 /// The member `name` of `object`, or null where `object` is no object or has no such member.
 const Json::Value& member(const Json::Value& object, const char* name);
 
--- a/include/eelgrassgw/membership/agent_registration.h
+++ b/include/eelgrassgw/membership/agent_registration.h
@@ -4,9 +4,7 @@
 
 #include "eelgrassgw/base/hash.h"
 #include "eelgrassgw/base/log.h"
-#include "eelgrassgw/journal/journal_store.h"
 #include "eelgrassgw/membership/member.h"
-#include "eelgrassgw/run/request_id.h"
 
 #include <algorithm>
 #include <mutex>
@@ -71,38 +69,6 @@
         return found.value().state == member_state::live || found.value().state == member_state::draining;
     }
 
-    /// All routers that have an entry, closed ones included.
-    result<std::vector<router_member>> routers() {
-        const result<object_changes> listed = store_.list(routers_prefix);
-        if (!listed) {
-            return listed.error();
-        }
-        std::vector<router_member> found;
-        for (const stored_object& object : listed.value().changed) {
-            const result<router_member> router = router_member::from_object(object);
-            if (router) {
-                found.push_back(router.value());
-            }
-        }
-        return found;
-    }
-
-    /// Requests of a closed router's journal that ran at this backend server, and all with a caller's key.
-    result<std::vector<std::string>> journalled_here(const std::string& router) {
-        const result<journal_contents> journal = journal_store<Store>(store_).read(router);
-        if (!journal) {
-            return journal.error();
-        }
-        std::vector<std::string> ids;
-        for (const journal_segment& segment : journal.value().segments) {
-            add_requests_here(segment, ids);
-        }
-        if (journal.value().recovery) {
-            add_requests_here(*journal.value().recovery, ids);
-        }
-        return ids;
-    }
-
     /// Changes the state in the entry. Errors: `fenced` where another incarnation took the entry.
     result<done> set_state(member_state state) {
         const std::lock_guard lock(mutex_);
@@ -142,6 +108,12 @@
         return entry && string_member(entry.value(), "state") == "leaving";
     }
 
+    /// The entry as it was last written.
+    agent_member self() const {
+        const std::lock_guard lock(mutex_);
+        return self_;
+    }
+
     /// Grows with every registration for this backend server; engines that check orders refuse a lower one.
     std::uint64_t fencing_number() const {
         const std::lock_guard lock(mutex_);
@@ -149,13 +121,19 @@
     }
 
 private:
-    void add_requests_here(const journal_segment& segment, std::vector<std::string>& ids) const {
-        const std::string prefix = self_.backend_server + "-";
-        for (const billing_record& record : segment.records) {
-            if (record.agent.starts_with(prefix) || has_caller_key(record.request_id)) {
-                ids.push_back(record.request_id);
+    result<std::vector<router_member>> routers() {
+        const result<object_changes> listed = store_.list(routers_prefix);
+        if (!listed) {
+            return listed.error();
+        }
+        std::vector<router_member> found;
+        for (const stored_object& object : listed.value().changed) {
+            const result<router_member> router = router_member::from_object(object);
+            if (router) {
+                found.push_back(router.value());
             }
         }
+        return found;
     }
 
     result<done> note_predecessor(const agent_member& previous) {
--- a/include/eelgrassgw/membership/fleet_view.h
+++ b/include/eelgrassgw/membership/fleet_view.h
@@ -16,11 +16,19 @@
 class fleet_view {
 public:
     void apply_agents(const object_changes& changes);
+    /// Takes in one agent's entry, for example from the agent itself. An older one than is known changes
+    /// nothing.
+    void note_agent(const agent_member& agent);
+
     void apply_routers(const object_changes& changes);
 
     /// Live agents whose backend server serves `name` under `in_force`.
     std::vector<agent_member> agents_serving(const configuration& in_force, const std::string& name) const;
 
+    /// As above, with those that are leaving or have left: they may know earlier runs of a repeated key.
+    std::vector<agent_member> agents_in_any_state(const configuration& in_force,
+                                                  const std::string& name) const;
+
     std::vector<agent_member> agents() const;
     std::optional<agent_member> find_agent(const std::string& backend_server) const;
     std::optional<agent_member> find_agent_incarnation(const std::string& incarnation) const;
@@ -35,6 +43,8 @@
     std::size_t live_router_count() const;
 
 private:
+    void take_in(const std::string& key, const agent_member& agent);
+
     mutable std::mutex mutex_;
     std::map<std::string, agent_member> agents_;   ///< By key.
     std::map<std::string, router_member> routers_; ///< By key.
--- /dev/null
+++ b/include/eelgrassgw/router/attempt_runner.h
@@ -0,0 +1,234 @@
+#pragma once
+
+/// What every kind of dispatch needs for one attempt: a reservation, a ticket, its sending, its settlement.
+
+#include "eelgrassgw/base/failpoint.h"
+#include "eelgrassgw/configuration/configuration_follower.h"
+#include "eelgrassgw/metrics/metrics.h"
+#include "eelgrassgw/router/dispatch_errors.h"
+#include "eelgrassgw/router/settler.h"
+#include "eelgrassgw/router/work_order.h"
+
+namespace eelgrassgw {
+
+/// What the dispatcher needs of the router around it.
+struct router_port {
+    std::function<void()> refresh_configuration;
+    std::function<bool(const std::string& budget, tokens amount)>
+        reclaim; ///< Asks other holders to give back.
+    std::function<result<bool>(const agent_member& closed, const std::string& request_id)>
+        may_have_run_at; ///< Looks into what a departed agent left behind.
+};
+
+/// Thread-safe: one call for each request, on the connection's own thread.
+template <class Session>
+class attempt_runner {
+public:
+    attempt_runner(const configuration_holder& configurations, const fleet_view& view,
+                   agent_selector& selector, request_table& requests, const agent_caller& caller,
+                   settler<Session>& late, metrics_registry& metrics, router_port port)
+        : configurations_(configurations), view_(view), selector_(selector), requests_(requests),
+          caller_(caller), late_(late), metrics_(metrics), port_(std::move(port)) {}
+
+    /// Sets the worst case aside. Otherwise fills in the error and returns false.
+    bool reserve(Session& session, const work_order& order, dispatch_result& outcome) {
+        failpoint("router_admission");
+        result<done> reserved = session.reserve(order.work.budget, order.work.reserved);
+        if (reserved.failed_with(errc::budget_exhausted) &&
+            port_.reclaim(order.work.budget, order.work.reserved)) {
+            session.ledger().forget_cached(order.work.budget);
+            reserved = session.reserve(order.work.budget, order.work.reserved);
+        }
+        log_admission(order, reserved);
+        if (reserved) {
+            return true;
+        }
+        outcome.error = admission_error(reserved.error());
+        note(order, request_state::not_run, outcome.error.message);
+        return false;
+    }
+
+    /// Live agents that serve the order, in the order to try.
+    std::vector<agent_member> live_agents(const work_order& order) const {
+        return sorted(view_.agents_serving(*configurations_.current(), order.served_name), order);
+    }
+
+    /// As above; for an order with the caller's own key also agents that leave or have left, since they may
+    /// know an earlier run.
+    std::vector<agent_member> agents_to_ask(const work_order& order) const {
+        if (!order.has_caller_key) {
+            return live_agents(order);
+        }
+        return sorted(view_.agents_in_any_state(*configurations_.current(), order.served_name), order);
+    }
+
+    /// Whether the order may have run at `closed`, an agent that has left.
+    result<bool> may_have_run_at(const agent_member& closed, const work_order& order) const {
+        return port_.may_have_run_at(closed, order.work.request_id);
+    }
+
+    ticket make_ticket(Session& session, const work_order& order, const agent_member& agent,
+                       int attempt) const {
+        ticket t = order.work;
+        t.router = session.incarnation();
+        t.agent = agent.incarnation;
+        t.nonce = random_id();
+        t.attempt = attempt;
+        const std::shared_ptr<const configuration> in_force = configurations_.current();
+        t.revision = in_force->revision();
+        t.max_running = in_force->max_running_per_backend_server();
+        const auto left = order.deadline - std::chrono::steady_clock::now();
+        t.deadline = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(left),
+                              std::chrono::milliseconds(0));
+        return t;
+    }
+
+    /// Sends `t` and passes its output on.
+    template <class Sink>
+    call_result send(Session& session, const agent_member& agent, const ticket& t, const work_order& order,
+                     Sink& sink) {
+        requests_.note(t.request_id,
+                       {t.customer, request_state::running, agent.incarnation, t.attempt, 0, 0, ""});
+        selector_.begin(agent.incarnation);
+        failpoint("router_before_ticket");
+        if (failpoint("bill_at_send") == failpoint_action::skip) {
+            bill_worst_case(session, t);
+        }
+        call_result sent = caller_.run_ticket(agent, t, order.resume_offset, sink);
+        failpoint("router_after_ticket");
+        const bool reached = sent.end != call_end::not_sent && sent.end != call_end::unknown;
+        if (reached) {
+            selector_.note_reachable(agent.incarnation);
+        } else {
+            selector_.note_unreachable(agent.incarnation, std::chrono::steady_clock::now());
+        }
+        const bool stays_open = sent.end == call_end::unknown || sent.end == call_end::agent_lost ||
+                                sent.end == call_end::caller_gone;
+        if (!stays_open) {
+            selector_.end(agent.incarnation);
+        }
+        log_routing(t, agent, sent);
+        return sent;
+    }
+
+    /// Whether the run came to an end that settles the request.
+    static bool is_ended(const call_result& sent) {
+        return sent.end == call_end::ended && sent.outcome.state != run_state::not_run;
+    }
+
+    /// Whether the ticket did not run and never will.
+    static bool is_not_run(const call_result& sent) {
+        return sent.end == call_end::refused || sent.end == call_end::not_sent || sent.end == call_end::ended;
+    }
+
+    /// Settles a request whose run ended, and fills in the outcome.
+    void finish(const std::shared_ptr<Session>& session, const ticket& t, const agent_member& agent,
+                const call_result& sent, dispatch_result& outcome) {
+        const billing_record record = make_record(t, sent.outcome, false);
+        failpoint("router_settle");
+        if (sent.is_own_run) {
+            session->settle(record, t.reserved);
+        } else {
+            session->release(t.budget, t.reserved);
+        }
+        outcome.ended = true;
+        outcome.agent = agent.incarnation;
+        outcome.outcome = sent.outcome;
+        outcome.replayed = !sent.is_own_run;
+        outcome.succeeded = sent.outcome.state == run_state::done && sent.output_kept;
+        if (!outcome.succeeded) {
+            outcome.error = ended_error(sent, agent);
+        }
+        const bool is_done = sent.outcome.state == run_state::done;
+        requests_.note(t.request_id,
+                       {t.customer, is_done ? request_state::done : request_state::failed, agent.incarnation,
+                        t.attempt, record.billed, record.withheld, sent.outcome.message});
+    }
+
+    /// Fills in the outcome of a run that was joined, and that its own router bills.
+    void finish_joined(const work_order& order, const agent_member& agent, const call_result& joined,
+                       dispatch_result& outcome) {
+        outcome.agent = agent.incarnation;
+        outcome.replayed = true;
+        outcome.caller_gone = joined.end == call_end::caller_gone;
+        outcome.outcome = joined.outcome;
+        outcome.ended = joined.end == call_end::ended;
+        outcome.succeeded = outcome.ended && joined.outcome.state == run_state::done && joined.output_kept;
+        if (!outcome.succeeded) {
+            outcome.error = outcome.ended
+                                ? ended_error(joined, agent)
+                                : unknown_error(joined.message, agent.incarnation, order.work.idempotent);
+        }
+        const request_state state = outcome.succeeded ? request_state::done
+                                    : outcome.ended   ? request_state::failed
+                                                      : request_state::unknown;
+        requests_.note(order.work.request_id, {order.work.customer, state, agent.incarnation, 1,
+                                               joined.outcome.used, joined.outcome.withheld, joined.message});
+    }
+
+    /// Leaves a ticket with an open outcome to the settler, which takes over its reservation.
+    void leave_open(unsettled_ticket<Session> open) { late_.add(std::move(open)); }
+
+    /// Remembers how the request stands, for `GET /v1/requests/<id>`.
+    void note(const work_order& order, request_state state, const std::string& why) {
+        requests_.note(order.work.request_id, {order.work.customer, state, "", 0, 0, 0, why});
+    }
+
+    void refresh_configuration() { port_.refresh_configuration(); }
+    const agent_caller& caller() const { return caller_; }
+    const fleet_view& view() const { return view_; }
+
+private:
+    std::vector<agent_member> sorted(std::vector<agent_member> agents, const work_order& order) const {
+        return selector_.order(std::move(agents), order.routing, order.has_caller_key,
+                               std::chrono::steady_clock::now());
+    }
+
+    /// The fault that the failpoint "bill_at_send" brings about, to show that the tests would catch it.
+    static void bill_worst_case(Session& session, const ticket& t) {
+        run_outcome outcome;
+        outcome.state = run_state::done;
+        outcome.used = t.reserved;
+        session.settle(make_record(t, outcome, false), t.reserved);
+    }
+
+    void log_admission(const work_order& order, const result<done>& reserved) {
+        metrics_.count("admissions", {{"outcome", reserved ? "admitted" : reserved.error().code.message()}});
+        Json::Value fields;
+        fields["request_id"] = order.work.request_id;
+        fields["customer"] = order.work.customer;
+        fields["budget"] = order.work.budget;
+        fields["reserve"] = Json::Int64(order.work.reserved);
+        fields["decision"] = reserved ? "admitted" : "refused";
+        fields["reason"] = reserved ? "" : reserved.error().text();
+        log_event(log_level::info, "admission", fields);
+    }
+
+    void log_routing(const ticket& t, const agent_member& agent, const call_result& sent) {
+        static const char* const names[] = {"ended",      "not_sent", "refused",
+                                            "agent_lost", "unknown",  "caller_gone"};
+        const char* end = names[static_cast<std::size_t>(sent.end)];
+        metrics_.count("tickets", {{"end", end}});
+        Json::Value fields;
+        fields["request_id"] = t.request_id;
+        fields["attempt"] = t.attempt;
+        fields["agent"] = agent.incarnation;
+        fields["data_centre"] = agent.data_centre;
+        fields["own_in_flight"] = selector_.in_flight(agent.incarnation);
+        fields["end"] = end;
+        fields["code"] = sent.code;
+        fields["reason"] = sent.message;
+        log_event(log_level::info, "routing", fields);
+    }
+
+    const configuration_holder& configurations_;
+    const fleet_view& view_;
+    agent_selector& selector_;
+    request_table& requests_;
+    const agent_caller& caller_;
+    settler<Session>& late_;
+    metrics_registry& metrics_;
+    router_port port_;
+};
+
+} // namespace eelgrassgw
--- a/include/eelgrassgw/router/caller_error.h
+++ b/include/eelgrassgw/router/caller_error.h
@@ -10,7 +10,8 @@
 
 namespace eelgrassgw {
 
-/// Whether the request ran, as far as that is proved.
+/// Whether the request ran, as far as that is proved. A request with a caller's own key is one request,
+/// however often it is sent.
 enum class ran { no, unknown, yes };
 
 const char* to_text(ran r);
@@ -25,6 +26,10 @@
     bool safe_to_repeat = true;               ///< Whether the same request with the same key does no harm.
     std::chrono::milliseconds retry_after{0}; ///< 0: repeating soon will not help.
 
+    /// For a refusal of a request with the caller's own key, decided before anybody was asked for an earlier
+    /// run of it: "not run" is then not proved.
+    void say_not_looked_up();
+
     /// The whole advice in one sentence, for the night desk.
     std::string advice() const;
     Json::Value to_json(const std::string& request_id) const;
--- a/include/eelgrassgw/router/caller_request.h
+++ b/include/eelgrassgw/router/caller_request.h
@@ -22,6 +22,7 @@
     Json::Value prompt;      ///< Messages and sampling parameters, as the engine gets them.
     tokens prompt_bound = 0; ///< Upper bound of the prompt's tokens.
     tokens max_tokens = 0;
+    std::string priority;
     bool stream = false;
     bool include_usage = false;
     std::uint64_t prefix_hash = 0;
--- a/include/eelgrassgw/router/internal/router_background.h
+++ b/include/eelgrassgw/router/internal/router_background.h
@@ -7,7 +7,14 @@
 template <object_store Store>
 router<Store>::router(Store& store, const router_settings& settings)
     : store_(store), settings_(settings), caller_(settings.common.fleet_key, settings.resolve_limit),
-      late_(caller_, view_, selector_, requests_) {
+      departed_(store), late_(caller_, view_, selector_, requests_),
+      attempts_(configurations_, view_, selector_, requests_, caller_, late_, metrics_, make_router_port()),
+      dispatcher_(attempts_, settings.max_attempts), claimed_(store, attempts_, settings.max_attempts) {
+    add_rpc_methods();
+}
+
+template <object_store Store>
+router_port router<Store>::make_router_port() {
     router_port port;
     port.refresh_configuration = [this] {
         refresh_configuration();
@@ -15,10 +22,10 @@
     port.reclaim = [this](const std::string& budget, tokens amount) {
         return reclaim(budget, amount);
     };
-    dispatcher_ =
-        std::make_unique<dispatcher<Store, session>>(store_, settings_, configurations_, view_, selector_,
-                                                     requests_, caller_, late_, metrics_, std::move(port));
-    add_rpc_methods();
+    port.may_have_run_at = [this](const agent_member& closed, const std::string& request_id) {
+        return departed_.may_have_run(closed, request_id);
+    };
+    return port;
 }
 
 template <object_store Store>
@@ -106,8 +113,9 @@
     const result<done> registered = opened->registration().register_now();
     Json::Value fields;
     fields["incarnation"] = opened->incarnation();
-    if (!registered || !opened->registration().beat()) {
-        fields["reason"] = registered ? "no heartbeat could be written" : registered.error().text();
+    const result<done> ready = registered ? see_all_agents() : registered;
+    if (!ready || !opened->registration().beat()) {
+        fields["reason"] = ready ? "no heartbeat could be written" : ready.error().text();
         log("registration_failed", fields);
         return nullptr;
     }
@@ -115,6 +123,18 @@
     return opened;
 }
 
+/// An agent that registered before this router did has not asked it which requests it remembers: so this
+/// router has to know that agent before it serves, or a repeated key could pass it by.
+template <object_store Store>
+result<done> router<Store>::see_all_agents() {
+    const result<object_changes> agents = store_.list(agents_prefix);
+    if (!agents) {
+        return agents.error();
+    }
+    view_.apply_agents(agents.value());
+    return done{};
+}
+
 template <object_store Store>
 void router<Store>::maintain() {
     steady_time next_beat{};
--- a/include/eelgrassgw/router/internal/router_callers.h
+++ b/include/eelgrassgw/router/internal/router_callers.h
@@ -21,13 +21,28 @@
     std::atomic<int>& count_;
 };
 
-inline caller_error not_ready(const std::string& code, const std::string& message) {
+/// Whether the caller gave the request a key of its own.
+inline bool has_caller_key(const http_request& request) {
+    return !request.header("idempotency-key").empty();
+}
+
+/// A refusal at the door, before anybody was asked for an earlier run.
+inline caller_error not_ready(const http_request& request, const std::string& code,
+                              const std::string& message) {
     caller_error error = bad_request(503, code, message);
     error.step = "admission";
     error.retry_after = std::chrono::seconds(1);
+    if (has_caller_key(request)) {
+        error.say_not_looked_up();
+    }
     return error;
 }
 
+inline caller_error wrong_method(const http_request& request, const std::string& right) {
+    return bad_request(405, "method_not_allowed",
+                       "Path \"" + request.path + "\" takes " + right + ", not " + request.method + ".");
+}
+
 } // namespace internal
 
 template <object_store Store>
@@ -49,17 +64,25 @@
     }
 }
 
+/// Every refusal of a caller's request goes out here, so that each is counted.
+template <object_store Store>
+void router<Store>::refuse_caller(const caller_error& error, const std::string& request_id,
+                                  http_exchange& exchange) {
+    metrics_.count("refusals", {{"code", error.code}});
+    exchange.send(error.to_response(request_id));
+}
+
 template <object_store Store>
 void router<Store>::handle_caller(const http_request& request, http_exchange& exchange) {
     const auto refuse = [&](const caller_error& error) {
-        metrics_.count("refusals", {{"code", error.code}});
-        exchange.send(error.to_response(""));
+        refuse_caller(error, "", exchange);
     };
     const std::shared_ptr<const configuration> in_force = configurations_.current();
     if (draining_ || in_force == nullptr || current_session() == nullptr) {
-        refuse(draining_
-                   ? internal::not_ready("draining", "This router is stopping; another one will serve you.")
-                   : internal::not_ready("starting", "This router has no configuration or no journal yet."));
+        refuse(draining_ ? internal::not_ready(request, "draining",
+                                               "This router is stopping; another one will serve you.")
+                         : internal::not_ready(request, "starting",
+                                               "This router has no configuration or no journal yet."));
         return;
     }
     if (request.body_too_large) {
@@ -74,7 +97,14 @@
         return;
     }
     const auto& caller = std::get<caller_identity>(identity);
-    if (request.path == "/v1/chat/completions" && request.method == "POST") {
+    const bool is_chat = request.path == "/v1/chat/completions";
+    const bool is_lookup =
+        request.path == "/v1/models" || request.path.starts_with(internal::requests_prefix);
+    if (is_chat && request.method != "POST") {
+        refuse(internal::wrong_method(request, "POST"));
+    } else if (is_lookup && request.method != "GET") {
+        refuse(internal::wrong_method(request, "GET"));
+    } else if (is_chat) {
         handle_chat(request, exchange, caller, *in_force);
     } else if (request.path == "/v1/models") {
         list_models(exchange, *in_force);
@@ -98,7 +128,8 @@
     order.work.budget = caller.budget;
     order.work.has_caller_key = order.has_caller_key;
     order.work.priority = limits.priority;
-    order.work.digest = sha256_hex(request.method + " " + request.path + "\n" + request.body);
+    order.work.digest =
+        sha256_hex(request.method + " " + request.path + "?" + request.query + "\n" + request.body);
     order.deadline = std::chrono::steady_clock::now() + limits.deadline;
     order.resume_offset = std::strtoull(request.header("resume-offset").c_str(), nullptr, 10);
     order.routing.request_id = order.work.request_id;
@@ -112,8 +143,7 @@
     work_order order = make_order(request, caller, limits);
     const read_result<chat_request> read = read_chat_request(request.body, in_force, limits);
     if (const auto* error = std::get_if<caller_error>(&read)) {
-        metrics_.count("refusals", {{"code", error->code}});
-        exchange.send(error->to_response(order.work.request_id));
+        refuse_caller(*error, order.work.request_id, exchange);
         return;
     }
     const auto& chat = std::get<chat_request>(read);
@@ -122,11 +152,12 @@
     order.work.body = to_text(chat.prompt);
     order.work.max_tokens = chat.max_tokens;
     order.work.reserved = chat.prompt_bound + chat.max_tokens;
+    order.work.priority = chat.priority;
     order.routing.prefix_hash = chat.prefix_hash;
     if (!enter_customer(caller.customer, limits.max_in_flight)) {
-        exchange.send(
-            internal::not_ready("too_many_in_flight", "The customer's limit of requests at once is reached.")
-                .to_response(order.work.request_id));
+        refuse_caller(internal::not_ready(request, "too_many_in_flight",
+                                          "The customer's limit of requests at once is reached."),
+                      order.work.request_id, exchange);
         return;
     }
     if (chat.stream) {
@@ -140,10 +171,9 @@
 template <object_store Store>
 void router<Store>::answer_chat(const work_order& order, const chat_request& chat, http_exchange& exchange) {
     collecting_sink sink(exchange);
-    const dispatch_result done = dispatcher_->run(current_session(), order, sink);
+    const dispatch_result done = dispatcher_.run(current_session(), order, sink);
     if (!done.succeeded) {
-        metrics_.count("refusals", {{"code", done.error.code}});
-        exchange.send(done.error.to_response(order.work.request_id));
+        refuse_caller(done.error, order.work.request_id, exchange);
         return;
     }
     Json::Value body;
@@ -169,7 +199,7 @@
 template <object_store Store>
 void router<Store>::stream_chat(const work_order& order, const chat_request& chat, http_exchange& exchange) {
     event_stream_sink sink(exchange, order.work.request_id, chat.model, order.resume_offset);
-    const dispatch_result done = dispatcher_->run(current_session(), order, sink);
+    const dispatch_result done = dispatcher_.run(current_session(), order, sink);
     if (done.caller_gone) {
         return;
     }
@@ -177,11 +207,11 @@
         sink.finish(done.outcome.finish, done.outcome.prompt_tokens, done.outcome.generated_tokens);
         return;
     }
-    metrics_.count("refusals", {{"code", done.error.code}});
     if (sink.has_begun()) {
+        metrics_.count("refusals", {{"code", done.error.code}});
         sink.fail(to_text(done.error.to_json(order.work.request_id)));
     } else {
-        exchange.send(done.error.to_response(order.work.request_id));
+        refuse_caller(done.error, order.work.request_id, exchange);
     }
 }
 
@@ -196,22 +226,27 @@
     const service_call* call = service == nullptr ? nullptr : service->find_call(call_name);
     work_order order = make_order(request, caller, in_force.limits_of(caller.customer));
     if (call == nullptr) {
-        exchange.send(bad_request(404, "unknown_call",
-                                  "Service \"" + service_name + "\" has no call \"" + call_name + "\".")
-                          .to_response(order.work.request_id));
+        refuse_caller(bad_request(404, "unknown_call",
+                                  "Service \"" + service_name + "\" has no call \"" + call_name + "\"."),
+                      order.work.request_id, exchange);
+        return;
+    }
+    if (request.method != call->method) {
+        refuse_caller(internal::wrong_method(request, call->method), order.work.request_id, exchange);
         return;
     }
     if (!call->idempotent && !order.has_caller_key) {
-        exchange.send(bad_request(400, "missing_idempotency_key",
+        refuse_caller(bad_request(400, "missing_idempotency_key",
                                   "Call \"" + call_name +
                                       "\" may not be repeated: send the header \"Idempotency-Key\" "
-                                      "with a new value for each new booking.")
-                          .to_response(order.work.request_id));
+                                      "with a new value for each new booking."),
+                      order.work.request_id, exchange);
         return;
     }
     order.served_name = service_name;
     order.work.method = call->method;
-    order.work.path = call->path + (request.query.empty() ? "" : "?" + request.query);
+    order.work.path = call->path;
+    order.work.query = request.query;
     order.work.body = request.body;
     order.work.idempotent = call->idempotent;
     order.work.price = call->price;
@@ -222,12 +257,10 @@
 template <object_store Store>
 void router<Store>::answer_service(const work_order& order, http_exchange& exchange) {
     collecting_sink sink(exchange);
-    const dispatch_result done = order.work.idempotent
-                                     ? dispatcher_->run(current_session(), order, sink)
-                                     : dispatcher_->run_claimed(current_session(), order, sink);
+    const dispatch_result done = order.work.idempotent ? dispatcher_.run(current_session(), order, sink)
+                                                       : claimed_.run(current_session(), order, sink);
     if (!done.succeeded) {
-        metrics_.count("refusals", {{"code", done.error.code}});
-        exchange.send(done.error.to_response(order.work.request_id));
+        refuse_caller(done.error, order.work.request_id, exchange);
         return;
     }
     http_response response{done.outcome.status, {{"content-type", "application/json"}}, sink.text()};
--- a/include/eelgrassgw/router/internal/router_peers.h
+++ b/include/eelgrassgw/router/internal/router_peers.h
@@ -26,17 +26,30 @@
         }
         return reply;
     });
-    rpc_.add("recent_requests", [this](const Json::Value& params) {
-        Json::Value reply;
-        const std::shared_ptr<session> own = current_session();
-        reply["router"] = own == nullptr ? "" : own->incarnation();
-        reply["request_ids"] = Json::arrayValue;
-        for (const std::string& id :
-             requests_.requests_to_remember(string_member(params, "backend_server"))) {
-            reply["request_ids"].append(id);
+    rpc_.add("recent_requests", [this](const Json::Value& params) { return recent_requests(params); });
+}
+
+/// The ids that an agent has to remember. It is taken into the view first: a request with a key is noted
+/// before its agents are ordered, so either the agent hears of the request, or the request sees the agent.
+template <object_store Store>
+Json::Value router<Store>::recent_requests(const Json::Value& params) {
+    const std::string entry = string_member(params, "entry");
+    if (!entry.empty()) {
+        const auto version = static_cast<object_version>(int_member(params, "version"));
+        const std::string key = agent_key(string_member(params, "backend_server"));
+        const result<agent_member> agent = agent_member::from_object({key, version, entry});
+        if (agent) {
+            view_.note_agent(agent.value());
         }
-        return reply;
-    });
+    }
+    Json::Value reply;
+    const std::shared_ptr<session> own = current_session();
+    reply["router"] = own == nullptr ? "" : own->incarnation();
+    reply["request_ids"] = Json::arrayValue;
+    for (const std::string& id : requests_.requests_to_remember(string_member(params, "backend_server"))) {
+        reply["request_ids"].append(id);
+    }
+    return reply;
 }
 
 template <object_store Store>
--- a/include/eelgrassgw/router/request_table.h
+++ b/include/eelgrassgw/router/request_table.h
@@ -34,7 +34,9 @@
 public:
     explicit request_table(std::size_t most) : most_(most) {}
 
+    /// Notes how a request stands. Where a repetition did not run, the entry of the earlier run comes back.
     void note(const std::string& request_id, const request_entry& entry);
+
     /// Ids of requests that ran or may have run at an incarnation of the agent of `backend_server`, and of
     /// all with the caller's own key, wherever they ran: the agent may be the first in their order.
     std::vector<std::string> requests_to_remember(const std::string& backend_server) const;
@@ -42,9 +44,14 @@
     std::optional<request_entry> find(const std::string& request_id) const;
 
 private:
+    struct kept_entry {
+        request_entry now;
+        std::optional<request_entry> earlier; ///< Of a run that ended, while a repetition is under way.
+    };
+
     const std::size_t most_;
     mutable std::mutex mutex_;
-    std::map<std::string, request_entry> entries_;
+    std::map<std::string, kept_entry> entries_;
     std::deque<std::string> by_age_;
 };
 
--- a/include/eelgrassgw/router/router.h
+++ b/include/eelgrassgw/router/router.h
@@ -6,6 +6,8 @@
 #include "eelgrassgw/recovery/recoverer.h"
 #include "eelgrassgw/router/answer_sink.h"
 #include "eelgrassgw/router/caller_request.h"
+#include "eelgrassgw/router/claimed_dispatcher.h"
+#include "eelgrassgw/router/departed_agents.h"
 #include "eelgrassgw/router/dispatcher.h"
 #include "eelgrassgw/router/router_session.h"
 
@@ -36,6 +38,7 @@
 
     // Callers' requests.
     void handle(const http_request& request, http_exchange& exchange);
+    void refuse_caller(const caller_error& error, const std::string& request_id, http_exchange& exchange);
     void handle_caller(const http_request& request, http_exchange& exchange);
     void handle_chat(const http_request& request, http_exchange& exchange, const caller_identity& caller,
                      const configuration& in_force);
@@ -58,10 +61,14 @@
     // Other routers' requests.
     void add_rpc_methods();
     Json::Value give_back(const Json::Value& params);
+    Json::Value recent_requests(const Json::Value& params);
     bool reclaim(const std::string& budget, tokens amount);
 
+    router_port make_router_port();
+
     // Background work.
     std::shared_ptr<session> open_session();
+    result<done> see_all_agents();
     std::shared_ptr<session> current_session() const;
     void ask_peers_for_configuration();
     void refresh_configuration();
@@ -90,8 +97,11 @@
     agent_selector selector_;
     request_table requests_{most_remembered_requests};
     agent_caller caller_;
+    departed_agents<Store> departed_;
     settler<session> late_;
-    std::unique_ptr<dispatcher<Store, session>> dispatcher_;
+    attempt_runner<session> attempts_;
+    dispatcher<session> dispatcher_;
+    claimed_dispatcher<Store, session> claimed_;
     rpc_dispatcher rpc_;
     mutable std::mutex mutex_;
     std::shared_ptr<session> session_;
--- a/include/eelgrassgw/run/run_table.h
+++ b/include/eelgrassgw/run/run_table.h
@@ -22,6 +22,7 @@
     bool known = false;
     std::shared_ptr<run> the_run; ///< Null for a tombstone or an unknown id.
     bool tombstoned = false;      ///< Did not run here and never will.
+    bool ran_before = false;      ///< May have run here before this agent started.
 };
 
 struct run_table_options {
@@ -44,6 +45,9 @@
     /// Notes requests that an earlier incarnation of this agent may have run: they are refused from now on.
     void mark_ran_before(const std::vector<std::string>& request_ids);
 
+    /// Ids with a caller's own key that ran here or may have, to be left behind at a planned stop.
+    std::vector<std::string> keyed_requests() const;
+
     /// Refuses every ticket with `nonce` from now on.
     void bar_nonce(const std::string& nonce);
 
--- a/include/eelgrassgw/run/ticket.h
+++ b/include/eelgrassgw/run/ticket.h
@@ -22,6 +22,7 @@
     std::string model;  ///< Empty for a call of a plain service.
     std::string method; ///< Of the service's call.
     std::string path;
+    std::string query; ///< Of the service's call, percent-encoded.
     std::string body;  ///< The chat messages as JSON, or the service call's body.
     std::string nonce; ///< Random; tells a router which run is its own after a lost answer.
     int attempt = 1;
@@ -32,6 +33,7 @@
     tokens price = 0;                      ///< Of a service's call.
     std::chrono::milliseconds deadline{0}; ///< From the ticket's arrival.
     configuration_revision revision = 0;
+    int max_running = 0; ///< Runs at once at a backend server under that revision; 0: no limit given.
 
     bool is_model_request() const { return !model.empty(); }
     Json::Value to_json() const;
--- a/src/agent/run_slots.cpp
+++ b/src/agent/run_slots.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassgw/agent/run_slots.h"
 
+#include "eelgrassgw/run/priority.h"
+
 #include <algorithm>
 
 namespace eelgrassgw {
@@ -11,13 +13,6 @@
 constexpr std::chrono::milliseconds cancel_poll{50};
 constexpr std::chrono::milliseconds longest_promise{60000};
 
-int rank_of(const std::string& priority) {
-    if (priority == "high") {
-        return 0;
-    }
-    return priority == "low" ? 2 : 1;
-}
-
 } // namespace
 
 bool run_slots::enter_queue() {
@@ -38,7 +33,7 @@
 bool run_slots::wait_for_slot(const run& r) {
     std::unique_lock lock(mutex_);
     --places_;
-    const auto it = waiters_.insert(waiters_.end(), {rank_of(r.work().priority), arrivals_++, false});
+    const auto it = waiters_.insert(waiters_.end(), {priority_rank(r.work().priority), arrivals_++, false});
     admit_next();
     while (!it->admitted) {
         const steady_time now = std::chrono::steady_clock::now();
@@ -52,6 +47,12 @@
     return true;
 }
 
+void run_slots::limit_running(int most) {
+    const std::lock_guard lock(mutex_);
+    max_running_ = std::min(most_running_, std::max(most, 1));
+    admit_next();
+}
+
 void run_slots::admit_next() {
     while (running_ < max_running_) {
         const bool oldest_first = admissions_ % oldest_first_every == oldest_first_every - 1;
--- a/src/agent/service_backend.cpp
+++ b/src/agent/service_backend.cpp
@@ -9,6 +9,7 @@
     http_request request;
     request.method = t.method;
     request.path = t.path;
+    request.query = t.query;
     request.headers["idempotency-key"] = t.request_id;
     request.headers["content-type"] = "application/json";
     request.body = t.body;
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -56,4 +56,17 @@
     return value.isBool() ? value.asBool() : fallback;
 }
 
+std::vector<std::string> texts_of(const Json::Value& list) {
+    std::vector<std::string> texts;
+    if (!list.isArray()) {
+        return texts;
+    }
+    for (const Json::Value& entry : list) {
+        if (entry.isString()) {
+            texts.push_back(entry.asString());
+        }
+    }
+    return texts;
+}
+
 } // namespace eelgrassgw
--- a/src/configuration/configuration_parser.cpp
+++ b/src/configuration/configuration_parser.cpp
@@ -1,5 +1,7 @@
 #include "configuration_parser.h"
 
+#include "eelgrassgw/run/priority.h"
+
 #include <algorithm>
 #include <set>
 
@@ -13,8 +15,6 @@
 constexpr std::int64_t max_ledger_shards = 4096;
 constexpr std::size_t sha256_digits = 64;
 
-const std::vector<std::string> priorities = {"high", "normal", "low"};
-
 std::string place_of(const char* list, Json::ArrayIndex i) {
     return std::string(list) + "[" + std::to_string(i) + "]";
 }
@@ -33,7 +33,7 @@
     settings["request_deadline_ms"] =
         Json::Int64(in.integer_or("request_deadline_ms", 100, max_deadline_ms, 60000));
     settings["max_in_flight"] = Json::Int64(in.integer_or("max_in_flight", 1, max_in_flight_ceiling, 1000));
-    settings["priority"] = in.choice_or("priority", priorities, "normal");
+    settings["priority"] = in.choice_or("priority", priority_names(), "normal");
     return settings;
 }
 
--- a/src/ctl/eelgrassctl.cpp
+++ b/src/ctl/eelgrassctl.cpp
@@ -5,6 +5,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <iostream>
@@ -42,18 +43,54 @@
     {"audit", "audit [--json]", "journal against ledger, to the token; exit code 1 at any difference", audit},
     {"held", "held [--json]", "what recovery still holds, and why", held},
     {"drain", "drain --agent=NAME --fleet_key=KEY", "makes a backend server leave", drain},
-    {"forget-agent", "forget-agent --agent=NAME --reason=PROOF",
+    {"forget-agent", "forget-agent --agent=NAME --fleet_key=KEY --reason=PROOF",
      "declares an agent lost whose VM certainly runs no more, so that recovery can end", forget_agent},
 }};
 
+constexpr const char* exit_codes =
+    "\nExit codes: 0 done; 1 a difference was found; 2 a flag or file is wrong; 3 refused, nothing changed; "
+    "4 the object API or a process cannot be asked: repeat the command.\n";
+
+const command* find_command(const std::string& name) {
+    const auto it = std::find_if(commands.begin(), commands.end(),
+                                 [&](const command& entry) { return name == entry.name; });
+    return it == commands.end() ? nullptr : &*it;
+}
+
+void print_usage(const command& entry) {
+    std::cout << "  " << entry.usage << "\n      " << entry.help << "\n";
+}
+
 int print_help() {
     std::cout << "eelgrassctl COMMAND [--object_api=ADDRESS] ...\n\n";
     for (const command& entry : commands) {
-        std::cout << "  " << entry.usage << "\n      " << entry.help << "\n";
+        print_usage(entry);
     }
-    std::cout
-        << "\nExit codes: 0 done; 1 a difference was found; 2 a flag or file is wrong; 3 refused, nothing "
-           "changed; 4 the object API or a process cannot be asked: repeat the command.\n";
+    std::cout << exit_codes;
+    return exit_ok;
+}
+
+int report_unknown(const std::string& name) {
+    std::cerr << "eelgrassctl: command \"" << name << "\" does not exist; see eelgrassctl help\n";
+    return exit_usage;
+}
+
+/// One command with the flags that its usage names.
+int print_help_of(const std::string& name) {
+    const command* entry = find_command(name);
+    if (entry == nullptr) {
+        return report_unknown(name);
+    }
+    std::cout << "eelgrassctl " << entry->usage << "\n\n" << entry->help << "\n\n";
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const gflags::CommandLineFlagInfo& flag : flags) {
+        const std::string usage = std::string(entry->usage) + " --object_api";
+        if (usage.find("--" + flag.name) != std::string::npos) {
+            std::cout << "  --" << flag.name << "  " << flag.description << "\n";
+        }
+    }
+    std::cout << exit_codes;
     return exit_ok;
 }
 
@@ -83,13 +120,8 @@
     }
     constexpr std::chrono::milliseconds limit{5000};
     http_object_store store(api.value(), {limit, limit});
-    for (const command& entry : commands) {
-        if (name == entry.name) {
-            return entry.run(store, with);
-        }
-    }
-    std::cerr << "eelgrassctl: command \"" << name << "\" does not exist; see eelgrassctl help\n";
-    return exit_usage;
+    const command* entry = find_command(name);
+    return entry == nullptr ? report_unknown(name) : entry->run(store, with);
 }
 
 } // namespace
@@ -97,12 +129,17 @@
 
 int main(int argc, char** argv) {
     gflags::SetUsageMessage("COMMAND [flags]; \"eelgrassctl help\" lists the commands");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    std::string wants_help;
+    (void)gflags::GetCommandLineOption("help", &wants_help);
     const char* failpoints = std::getenv("EELGRASSGW_FAILPOINTS");
     eelgrassgw::arm_failpoints(failpoints == nullptr ? "" : failpoints);
     const std::string name = argc > 1 ? argv[1] : "help";
     if (name == "help") {
-        return eelgrassgw::ctl::print_help();
+        return argc > 2 ? eelgrassgw::ctl::print_help_of(argv[2]) : eelgrassgw::ctl::print_help();
+    }
+    if (wants_help == "true") {
+        return eelgrassgw::ctl::print_help_of(name);
     }
     return eelgrassgw::ctl::run(name);
 }
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -4,6 +4,7 @@
 #include "eelgrassgw/base/hash.h"
 #include "eelgrassgw/journal/journal_store.h"
 #include "eelgrassgw/membership/agent_registration.h"
+#include "eelgrassgw/membership/recent_requests.h"
 #include "eelgrassgw/transport/fleet_peer.h"
 
 #include <algorithm>
@@ -47,6 +48,20 @@
     return text;
 }
 
+/// Writes down which requests with a key may have run at the agent, as it would have done itself.
+result<done> leave_memory_for(http_object_store& store, const options& with) {
+    request_memory<http_object_store> memory(store);
+    Json::Value params;
+    params["backend_server"] = with.agent;
+    const result<std::vector<std::string>> ids = memory.collect(with.agent, [&](const router_member& router) {
+        return ask_recent_requests(router, with.fleet_key, params);
+    });
+    if (!ids) {
+        return ids.error();
+    }
+    return memory.write(with.agent, ids.value());
+}
+
 } // namespace
 
 int held(http_object_store& store, const options& with) {
@@ -159,9 +174,10 @@
 }
 
 int forget_agent(http_object_store& store, const options& with) {
-    if (with.agent.empty() || with.reason.empty()) {
-        std::cerr << "eelgrassctl: forget-agent needs --agent and --reason (what proves that its VM runs no "
-                     "more)\n";
+    if (with.agent.empty() || with.reason.empty() || with.fleet_key.empty()) {
+        std::cerr
+            << "eelgrassctl: forget-agent needs --agent, --fleet_key and --reason (what proves that its "
+               "VM runs no more)\n";
         return exit_usage;
     }
     agent_member marker;
@@ -170,6 +186,10 @@
     marker.address = {"127.0.0.1", 1};
     marker.data_centre = "none: " + with.reason;
     marker.state = member_state::closed;
+    const result<done> remembered = leave_memory_for(store, with);
+    if (!remembered) {
+        return report(remembered.error());
+    }
     const result<done> replaced = agent_registration<http_object_store>(store, marker).register_now();
     if (!replaced) {
         return report(replaced.error());
--- a/src/membership/fleet_view.cpp
+++ b/src/membership/fleet_view.cpp
@@ -13,11 +13,23 @@
         }
         const result<agent_member> agent = agent_member::from_object(object);
         if (agent) {
-            agents_[object.key] = agent.value();
+            take_in(object.key, agent.value());
         }
     }
 }
 
+void fleet_view::note_agent(const agent_member& agent) {
+    const std::lock_guard lock(mutex_);
+    take_in(agent_key(agent.backend_server), agent);
+}
+
+void fleet_view::take_in(const std::string& key, const agent_member& agent) {
+    const auto it = agents_.find(key);
+    if (it == agents_.end() || it->second.version <= agent.version) {
+        agents_[key] = agent;
+    }
+}
+
 void fleet_view::apply_routers(const object_changes& changes) {
     const std::lock_guard lock(mutex_);
     for (const stored_object& object : changes.changed) {
@@ -34,11 +46,18 @@
 
 std::vector<agent_member> fleet_view::agents_serving(const configuration& in_force,
                                                      const std::string& name) const {
+    std::vector<agent_member> found = agents_in_any_state(in_force, name);
+    std::erase_if(found, [](const agent_member& agent) { return agent.state != member_state::live; });
+    return found;
+}
+
+std::vector<agent_member> fleet_view::agents_in_any_state(const configuration& in_force,
+                                                          const std::string& name) const {
     const std::lock_guard lock(mutex_);
     std::vector<agent_member> found;
     for (const auto& [key, agent] : agents_) {
         const backend_server_definition* server = in_force.find_backend_server(agent.backend_server);
-        if (agent.state == member_state::live && server != nullptr && server->serves_name(name)) {
+        if (server != nullptr && server->serves_name(name)) {
             found.push_back(agent);
         }
     }
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -39,14 +39,6 @@
     return common_entry{document.value(), address.value(), state.value()};
 }
 
-std::vector<std::string> to_texts(const Json::Value& list) {
-    std::vector<std::string> texts;
-    for (const Json::Value& entry : list) {
-        texts.push_back(entry.asString());
-    }
-    return texts;
-}
-
 } // namespace
 
 const char* const agents_prefix = "agents/";
@@ -98,7 +90,7 @@
     agent.data_centre = string_member(from, "data_centre");
     agent.state = common.value().state;
     for (const Json::Value& item : member(from, "lost")) {
-        agent.lost.push_back({string_member(item, "incarnation"), to_texts(member(item, "routers"))});
+        agent.lost.push_back({string_member(item, "incarnation"), texts_of(member(item, "routers"))});
     }
     agent.version = object.version;
     return agent;
--- /dev/null
+++ b/src/membership/request_memory.cpp
@@ -0,0 +1,26 @@
+#include "eelgrassgw/membership/request_memory.h"
+
+namespace eelgrassgw {
+
+std::string request_memory_prefix(const std::string& backend_server) {
+    return "memory/" + backend_server + "/";
+}
+
+std::string request_memory_part(const std::vector<std::string>& request_ids) {
+    Json::Value to;
+    to["request_ids"] = Json::arrayValue;
+    for (const std::string& id : request_ids) {
+        to["request_ids"].append(id);
+    }
+    return to_text(to);
+}
+
+result<std::vector<std::string>> read_request_memory_part(const std::string& text) {
+    const result<Json::Value> parsed = parse_json(text);
+    if (!parsed) {
+        return parsed.error();
+    }
+    return texts_of(member(parsed.value(), "request_ids"));
+}
+
+} // namespace eelgrassgw
--- a/src/router/caller_error.cpp
+++ b/src/router/caller_error.cpp
@@ -14,6 +14,12 @@
     return "unknown";
 }
 
+void caller_error::say_not_looked_up() {
+    did_run = ran::unknown;
+    safe_to_repeat = true;
+    message += " This time it was not run; whether it ran before under the same key was not looked up.";
+}
+
 std::string caller_error::advice() const {
     switch (did_run) {
     case ran::no:
--- a/src/router/caller_request.cpp
+++ b/src/router/caller_request.cpp
@@ -1,6 +1,9 @@
 #include "eelgrassgw/router/caller_request.h"
 
+#include "eelgrassgw/run/priority.h"
+
 #include <array>
+#include <optional>
 
 namespace eelgrassgw {
 
@@ -37,9 +40,114 @@
     return text;
 }
 
-bool is_message(const Json::Value& message) {
-    const Json::Value& content = member(message, "content");
-    return member(message, "role").isString() && (content.isString() || content.isArray());
+/// Reads the fields of one body and keeps the first complaint. A null counts as absent.
+class chat_reader {
+public:
+    explicit chat_reader(const Json::Value& from) : from_(from) {}
+
+    bool has(const char* name) const { return !member(from_, name).isNull(); }
+
+    void check_known_fields() {
+        for (const std::string& name : from_.getMemberNames()) {
+            if (!contains(own_fields, name) && !contains(sampling_fields, name)) {
+                complain(name, "is not supported");
+            }
+        }
+    }
+
+    std::int64_t integer_or(const char* name, std::int64_t fallback) {
+        if (has(name) && !from_[name].isInt64()) {
+            complain(name, "must be a whole number");
+        }
+        return int_member(from_, name, fallback);
+    }
+
+    bool boolean_or_false(const char* name) {
+        if (has(name) && !from_[name].isBool()) {
+            complain(name, "must be true or false");
+        }
+        return bool_member(from_, name);
+    }
+
+    std::string priority_or(const std::string& highest) {
+        if (!has("priority")) {
+            return highest;
+        }
+        const std::string asked = string_member(from_, "priority");
+        const bool exists = contains(priority_names(), asked);
+        if (!exists || priority_rank(asked) < priority_rank(highest)) {
+            complain("priority", "is \"" + asked + "\"; allowed: \"" + highest + "\" or lower");
+        }
+        return asked;
+    }
+
+    const Json::Value& messages() {
+        const Json::Value& list = member(from_, "messages");
+        if (!list.isArray() || list.empty()) {
+            complain("messages", "must be a list that is not empty");
+            return no_messages();
+        }
+        for (const Json::Value& message : list) {
+            check_message(message);
+        }
+        return error_ ? no_messages() : list;
+    }
+
+    void complain(const std::string& field, const std::string& why) {
+        if (!error_) {
+            error_ = bad_field(field, why);
+        }
+    }
+
+    const std::optional<caller_error>& error() const { return error_; }
+
+private:
+    static const Json::Value& no_messages() {
+        static const Json::Value none(Json::arrayValue);
+        return none;
+    }
+
+    void check_message(const Json::Value& message) {
+        const Json::Value& content = member(message, "content");
+        if (!member(message, "role").isString() || !(content.isString() || content.isArray())) {
+            complain("messages", "holds an entry without role and content");
+            return;
+        }
+        if (content.isString()) {
+            return;
+        }
+        for (const Json::Value& part : content) {
+            const std::string type = string_member(part, "type");
+            if (type != "text" || !member(part, "text").isString()) {
+                complain("messages", "holds a part of type \"" + type + "\"; only \"text\" is supported");
+            }
+        }
+    }
+
+    const Json::Value& from_;
+    std::optional<caller_error> error_;
+};
+
+/// Messages and sampling parameters, as the engine gets them.
+Json::Value prompt_of(const Json::Value& from) {
+    Json::Value prompt;
+    prompt["messages"] = from["messages"];
+    for (const char* name : sampling_fields) {
+        if (from.isMember(name)) {
+            prompt[name] = from[name];
+        }
+    }
+    return prompt;
+}
+
+void read_messages(const Json::Value& messages, chat_request& request) {
+    std::string all_text;
+    for (const Json::Value& message : messages) {
+        request.prompt_bound += token_bound(string_member(message, "role")) + tokens_per_message;
+        all_text += text_of(message["content"]);
+    }
+    request.prompt_bound += token_bound(all_text) + tokens_per_message;
+    request.prefix_hash = stable_hash(all_text.substr(0, prefix_bytes));
 }
 
 } // namespace
@@ -64,47 +172,30 @@
         return bad_request(400, "malformed_body", "The body is not a JSON object.");
     }
     const Json::Value& from = parsed.value();
-    for (const std::string& name : from.getMemberNames()) {
-        if (!contains(own_fields, name) && !contains(sampling_fields, name)) {
-            return bad_field(name, "is not supported");
-        }
-    }
+    chat_reader in(from);
+    in.check_known_fields();
     chat_request request;
     request.model = string_member(from, "model");
-    if (!in_force.has_model(request.model)) {
+    if (!in.error() && !in_force.has_model(request.model)) {
         return bad_request(404, "unknown_model", "Model \"" + request.model + "\" does not exist.");
     }
-    if (int_member(from, "n", 1) != 1) {
-        return bad_field("n", "must be 1");
-    }
-    const Json::Value& messages = member(from, "messages");
-    if (!messages.isArray() || messages.empty()) {
-        return bad_field("messages", "must be a list that is not empty");
-    }
-    std::string all_text;
-    for (const Json::Value& message : messages) {
-        if (!is_message(message)) {
-            return bad_field("messages", "holds an entry without role and content");
-        }
-        request.prompt_bound += token_bound(string_member(message, "role")) + tokens_per_message;
-        all_text += text_of(message["content"]);
+    if (in.integer_or("n", 1) != 1) {
+        in.complain("n", "must be 1");
     }
-    request.prompt_bound += token_bound(all_text) + tokens_per_message;
-    request.prefix_hash = stable_hash(all_text.substr(0, prefix_bytes));
-    const char* limit_field = from.isMember("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
-    request.max_tokens = int_member(from, limit_field, limits.max_tokens_default);
+    read_messages(in.messages(), request);
+    const char* limit_field = in.has("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
+    request.max_tokens = in.integer_or(limit_field, limits.max_tokens_default);
     if (request.max_tokens < 1 || request.max_tokens > limits.max_tokens_limit) {
-        return bad_field(limit_field, "is " + std::to_string(request.max_tokens) + "; allowed: 1 to " +
-                                          std::to_string(limits.max_tokens_limit));
+        in.complain(limit_field, "is " + std::to_string(request.max_tokens) + "; allowed: 1 to " +
+                                     std::to_string(limits.max_tokens_limit));
     }
-    request.stream = bool_member(from, "stream");
+    request.priority = in.priority_or(limits.priority);
+    request.stream = in.boolean_or_false("stream");
     request.include_usage = bool_member(member(from, "stream_options"), "include_usage");
-    request.prompt["messages"] = messages;
-    for (const char* name : sampling_fields) {
-        if (from.isMember(name)) {
-            request.prompt[name] = from[name];
-        }
+    if (in.error()) {
+        return *in.error();
     }
+    request.prompt = prompt_of(from);
     return request;
 }
 
--- a/src/router/dispatch_errors.cpp
+++ b/src/router/dispatch_errors.cpp
@@ -72,6 +72,12 @@
     return error;
 }
 
+caller_error claim_unreadable_error(const failure& cause) {
+    caller_error error = claim_unreachable_error(cause);
+    error.say_not_looked_up();
+    return error;
+}
+
 caller_error ended_error(const call_result& sent, const agent_member& agent) {
     caller_error error;
     error.status = 502;
@@ -86,13 +92,35 @@
     return error;
 }
 
-caller_error earlier_run_unknown_error(const call_result& last) {
-    caller_error error = unknown_error(last.message, "", true);
+caller_error earlier_run_unknown_error(const std::string& why) {
+    caller_error error = unknown_error(why, "", true);
     error.code = "earlier_run_unknown";
     error.message =
         "An earlier request with the same key may have run at a backend server that cannot be asked at "
         "the moment: " +
-        last.message + ".";
+        why + ".";
+    return error;
+}
+
+caller_error ran_before_error() {
+    caller_error error =
+        unknown_error("an earlier request with the same key may have run, and its answer is lost", "", false);
+    error.status = 409;
+    error.code = "ran_before";
+    error.retry_after = {};
+    return error;
+}
+
+caller_error answer_left_error(const agent_member& agent) {
+    caller_error error;
+    error.status = 502;
+    error.code = "answer_not_kept";
+    error.message = "The request ran under this key before, at backend server \"" + agent.backend_server +
+                    "\", which has left; its answer is not kept any more.";
+    error.did_run = ran::yes;
+    error.step = "run";
+    error.peer = agent.incarnation;
+    error.safe_to_repeat = false;
     return error;
 }
 
--- a/src/router/request_table.cpp
+++ b/src/router/request_table.cpp
@@ -4,6 +4,15 @@
 
 namespace eelgrassgw {
 
+namespace {
+
+bool has_run(const request_entry& entry) {
+    return entry.state == request_state::done || entry.state == request_state::failed ||
+           entry.state == request_state::unknown;
+}
+
+} // namespace
+
 const char* to_text(request_state state) {
     switch (state) {
     case request_state::not_run:
@@ -34,8 +43,14 @@
 
 void request_table::note(const std::string& request_id, const request_entry& entry) {
     const std::lock_guard lock(mutex_);
-    const bool is_new = entries_.insert_or_assign(request_id, entry).second;
+    const auto [it, is_new] = entries_.try_emplace(request_id, kept_entry{entry, std::nullopt});
     if (!is_new) {
+        kept_entry& kept = it->second;
+        if (has_run(kept.now)) {
+            kept.earlier = kept.now;
+        }
+        const bool is_refused_repetition = entry.state == request_state::not_run && kept.earlier;
+        kept.now = is_refused_repetition ? *kept.earlier : entry;
         return;
     }
     by_age_.push_back(request_id);
@@ -49,9 +64,9 @@
     const std::string prefix = backend_server + "-";
     const std::lock_guard lock(mutex_);
     std::vector<std::string> found;
-    for (const auto& [id, entry] : entries_) {
-        const bool matters = entry.agent.starts_with(prefix) || has_caller_key(id);
-        if (entry.state != request_state::not_run && matters) {
+    for (const auto& [id, kept] : entries_) {
+        const bool matters = kept.now.agent.starts_with(prefix) || has_caller_key(id);
+        if (kept.now.state != request_state::not_run && matters) {
             found.push_back(id);
         }
     }
@@ -61,7 +76,7 @@
 std::optional<request_entry> request_table::find(const std::string& request_id) const {
     const std::lock_guard lock(mutex_);
     const auto it = entries_.find(request_id);
-    return it == entries_.end() ? std::nullopt : std::optional(it->second);
+    return it == entries_.end() ? std::nullopt : std::optional(it->second.now);
 }
 
 } // namespace eelgrassgw
--- a/src/run/run_table.cpp
+++ b/src/run/run_table.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassgw/run/run_table.h"
 
+#include "eelgrassgw/run/request_id.h"
+
 namespace eelgrassgw {
 
 namespace {
@@ -61,6 +63,22 @@
     }
 }
 
+std::vector<std::string> run_table::keyed_requests() const {
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> found;
+    for (const auto& [id, entry] : runs_) {
+        if (has_caller_key(id) && entry->outcome().state != run_state::not_run) {
+            found.push_back(id);
+        }
+    }
+    for (const auto& [id, since] : ran_before_) {
+        if (has_caller_key(id)) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 void run_table::bar_nonce(const std::string& nonce) {
     const std::lock_guard lock(mutex_);
     barred_nonces_[nonce] = std::chrono::steady_clock::now();
@@ -70,20 +88,20 @@
     const std::lock_guard lock(mutex_);
     const auto it = runs_.find(request_id);
     if (it != runs_.end()) {
-        return {true, it->second, false};
+        return {true, it->second, false, false};
     }
     const bool tombstoned = tombstones_.contains(request_id);
-    return {tombstoned, nullptr, tombstoned};
+    return {tombstoned, nullptr, tombstoned, ran_before_.contains(request_id)};
 }
 
 run_status run_table::tombstone(const std::string& request_id) {
     const std::lock_guard lock(mutex_);
     const auto it = runs_.find(request_id);
     if (it != runs_.end()) {
-        return {true, it->second, false};
+        return {true, it->second, false, false};
     }
     tombstones_[request_id] = std::chrono::steady_clock::now();
-    return {true, nullptr, true};
+    return {true, nullptr, true, ran_before_.contains(request_id)};
 }
 
 void run_table::seal(const std::string& router) {
--- a/src/run/ticket.cpp
+++ b/src/run/ticket.cpp
@@ -14,6 +14,7 @@
     to["model"] = model;
     to["method"] = method;
     to["path"] = path;
+    to["query"] = query;
     to["body"] = body;
     to["nonce"] = nonce;
     to["attempt"] = attempt;
@@ -24,6 +25,7 @@
     to["price"] = Json::Int64(price);
     to["deadline_ms"] = Json::Int64(deadline.count());
     to["revision"] = Json::Int64(revision);
+    to["max_running"] = max_running;
     return to;
 }
 
@@ -39,6 +41,7 @@
     t.model = string_member(from, "model");
     t.method = string_member(from, "method");
     t.path = string_member(from, "path");
+    t.query = string_member(from, "query");
     t.body = string_member(from, "body");
     t.nonce = string_member(from, "nonce");
     t.attempt = static_cast<int>(int_member(from, "attempt", 1));
@@ -49,6 +52,7 @@
     t.price = int_member(from, "price");
     t.deadline = std::chrono::milliseconds(int_member(from, "deadline_ms"));
     t.revision = int_member(from, "revision");
+    t.max_running = static_cast<int>(int_member(from, "max_running"));
     return t;
 }
 
--- /dev/null
+++ b/test/fleet_view_test.cpp
@@ -0,0 +1,48 @@
+/// What a router knows of the fleet's agents.
+
+#include "eelgrassgw/membership/fleet_view.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw {
+namespace {
+
+agent_member make_agent(member_state state, object_version version) {
+    agent_member agent;
+    agent.backend_server = "engine-1";
+    agent.incarnation = "engine-1-a";
+    agent.address = {"127.0.0.1", 1};
+    agent.state = state;
+    agent.version = version;
+    return agent;
+}
+
+configuration make_configuration() {
+    Json::Value document;
+    document["models"].append("lagoon-1");
+    document["backend_servers"][0]["name"] = "engine-1";
+    document["backend_servers"][0]["serves"].append("lagoon-1");
+    return configuration::from_json(document).value();
+}
+
+TEST(fleet_view_test, older_entry_changes_nothing) {
+    fleet_view view;
+    view.note_agent(make_agent(member_state::draining, 7));
+    view.note_agent(make_agent(member_state::live, 6));
+    EXPECT_EQ(view.find_agent("engine-1")->state, member_state::draining);
+}
+
+TEST(fleet_view_test, agent_that_leaves_serves_nothing_new) {
+    fleet_view view;
+    view.note_agent(make_agent(member_state::draining, 7));
+    EXPECT_TRUE(view.agents_serving(make_configuration(), "lagoon-1").empty());
+}
+
+TEST(fleet_view_test, agent_that_left_may_still_be_asked) {
+    fleet_view view;
+    view.note_agent(make_agent(member_state::closed, 7));
+    EXPECT_EQ(view.agents_in_any_state(make_configuration(), "lagoon-1").size(), 1U);
+}
+
+} // namespace
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/request_memory_test.cpp
@@ -0,0 +1,85 @@
+/// What a departed agent leaves behind, and what is collected for a lost one.
+
+#include "eelgrassgw/membership/request_memory.h"
+
+#include "test/fakes/memory_object_store.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw {
+namespace {
+
+class request_memory_test : public testing::Test {
+protected:
+    void add_router(const std::string& incarnation, member_state state) {
+        router_member router;
+        router.incarnation = incarnation;
+        router.address = {"127.0.0.1", 1};
+        router.state = state;
+        ASSERT_TRUE(store.put(router_key(incarnation), router.to_text(), absent_version));
+    }
+
+    void add_bill(const std::string& router, const std::string& request_id, const std::string& agent) {
+        journal_segment segment;
+        segment.incarnation = router;
+        billing_record record;
+        record.request_id = request_id;
+        record.agent = agent;
+        segment.records.push_back(record);
+        ASSERT_TRUE(store.put(segment_key(router, 0), segment.to_text(), absent_version));
+    }
+
+    result<std::vector<std::string>> collect() {
+        return memory.collect("engine-1", [](const router_member&) -> result<std::vector<std::string>> {
+            return std::vector<std::string>{"k-open"};
+        });
+    }
+
+    test::memory_object_store store;
+    request_memory<test::memory_object_store> memory{store};
+};
+
+TEST_F(request_memory_test, gives_back_what_was_left) {
+    ASSERT_TRUE(memory.write("engine-1", {"k-1", "k-2"}));
+    EXPECT_EQ(memory.read("engine-1").value(), (std::vector<std::string>{"k-1", "k-2"}));
+}
+
+TEST_F(request_memory_test, keeps_more_ids_than_one_value_holds) {
+    const std::vector<std::string> many(45000, "k-0123456789abcdef0123456789abcdef");
+    ASSERT_TRUE(memory.write("engine-1", many));
+    EXPECT_EQ(memory.read("engine-1").value().size(), many.size());
+}
+
+TEST_F(request_memory_test, forgets_the_parts_of_a_longer_memory) {
+    ASSERT_TRUE(memory.write("engine-1", std::vector<std::string>(45000, "k-1")));
+    ASSERT_TRUE(memory.write("engine-1", {"k-2"}));
+    EXPECT_EQ(memory.read("engine-1").value(), (std::vector<std::string>{"k-2"}));
+}
+
+TEST_F(request_memory_test, does_not_mix_backend_servers_with_one_prefix) {
+    ASSERT_TRUE(memory.write("engine-1", {"k-1"}));
+    ASSERT_TRUE(memory.write("engine-10", {"k-10"}));
+    EXPECT_EQ(memory.read("engine-1").value(), (std::vector<std::string>{"k-1"}));
+}
+
+TEST_F(request_memory_test, collects_from_open_routers) {
+    add_router("router-1-a", member_state::live);
+    EXPECT_EQ(collect().value(), (std::vector<std::string>{"k-open"}));
+}
+
+TEST_F(request_memory_test, collects_from_the_journals_of_closed_routers) {
+    add_router("router-1-a", member_state::closed);
+    add_bill("router-1-a", "k-closed", "engine-2-b");
+    EXPECT_EQ(collect().value(), (std::vector<std::string>{"k-closed"}));
+}
+
+TEST_F(request_memory_test, collects_nothing_where_an_open_router_does_not_answer) {
+    add_router("router-1-a", member_state::sealed);
+    const auto refuse = [](const router_member&) -> result<std::vector<std::string>> {
+        return make_failure(errc::unreachable, "ask", "router-1", "down");
+    };
+    EXPECT_TRUE(memory.collect("engine-1", refuse).failed_with(errc::unreachable));
+}
+
+} // namespace
+} // namespace eelgrassgw
--- a/test/stand_ins/engine.cpp
+++ b/test/stand_ins/engine.cpp
@@ -31,6 +31,7 @@
     std::string prompt;
     int rank = 1;
     tokens prompt_tokens = 0;
+    std::int64_t begun_at_ms = now_ms();
     tokens wanted = 0;
     tokens generated = 0;
     std::string finish; ///< Empty while it goes on.
@@ -207,6 +208,7 @@
         entry["prompt"] = run.prompt;
         entry["prompt_tokens"] = Json::Int64(run.prompt_tokens);
         entry["completion_tokens"] = Json::Int64(run.generated);
+        entry["begun_at_ms"] = Json::Int64(run.begun_at_ms);
         entry["finish"] = run.finish;
         entry["cache_hit"] = run.cache_hit;
         return entry;
--- a/test/stand_ins/plain_service.cpp
+++ b/test/stand_ins/plain_service.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassgw/base/json.h"
 #include "test/stand_ins/stand_in.h"
+#include "test/stand_ins/stand_in_answer.h"
 
 #include <gflags/gflags.h>
 
@@ -37,7 +38,9 @@
         int number = 0;
         {
             const std::lock_guard lock(mutex_);
-            ++effects_[request.header("idempotency-key")];
+            effect& found = effects_[request.header("idempotency-key")];
+            found.count++;
+            found.first_at_ms = std::min(found.first_at_ms, now_ms());
             number = ++bookings_;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_call_ms));
@@ -50,14 +53,20 @@
     void show_effects(http_exchange& exchange) {
         const std::lock_guard lock(mutex_);
         Json::Value all(Json::objectValue);
-        for (const auto& [key, count] : effects_) {
-            all[key] = count;
+        for (const auto& [key, found] : effects_) {
+            all[key]["count"] = found.count;
+            all[key]["first_at_ms"] = Json::Int64(found.first_at_ms);
         }
         exchange.send(json_response(200, all));
     }
 
     std::mutex mutex_;
-    std::map<std::string, int> effects_;
+    struct effect {
+        int count = 0;
+        std::int64_t first_at_ms = INT64_MAX;
+    };
+
+    std::map<std::string, effect> effects_;
     int bookings_ = 0;
 };
 
--- a/test/stand_ins/stand_in_answer.h
+++ b/test/stand_ins/stand_in_answer.h
@@ -5,11 +5,18 @@
 #include "eelgrassgw/base/hash.h"
 #include "eelgrassgw/base/json.h"
 
+#include <chrono>
 #include <cstdlib>
 #include <string>
 
 namespace eelgrassgw::stand_in {
 
+/// Milliseconds of the system clock, which all processes of one machine share.
+inline std::int64_t now_ms() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 inline std::string prompt_text(const Json::Value& messages) {
     std::string text;
     for (const Json::Value& message : messages) {
--- a/test/system/caller.cpp
+++ b/test/system/caller.cpp
@@ -1,6 +1,7 @@
 #include "test/system/caller.h"
 
 #include "eelgrassgw/router/caller_request.h"
+#include "test/stand_ins/stand_in_answer.h"
 
 #include <thread>
 
@@ -17,6 +18,12 @@
     noted.safe_to_repeat = bool_member(error, "safe_to_repeat", true);
 }
 
+observation begin_observation() {
+    observation begun;
+    begun.sent_at_ms = stand_in::now_ms();
+    return begun;
+}
+
 bool is_final_answer(const observation& o) {
     return o.whole || o.code == "budget_exhausted" || o.code == "key_reused" || o.code == "answer_broken" ||
            o.code == "answer_not_kept" || o.code == "ran_before";
@@ -65,7 +72,7 @@
 observation caller::chat(const std::string& router, const std::string& prompt, const std::string& key,
                          bool stream) {
     const http_request request = make_chat(prompt, key, stream);
-    observation noted;
+    observation noted = begin_observation();
     noted.kind = "chat";
     noted.prompt = prompt + "\n";
     noted.request_id = key.empty() ? "" : id_of_key(fleet_, key);
@@ -76,7 +83,7 @@
                            std::size_t offset) {
     http_request request = make_chat(prompt, key, true);
     request.headers["resume-offset"] = std::to_string(offset);
-    observation noted;
+    observation noted = begin_observation();
     noted.kind = "resume";
     noted.request_id = id_of_key(fleet_, key);
     return note(send_streamed(router, request, noted));
@@ -85,7 +92,7 @@
 observation caller::book(const std::string& router, const std::string& key) {
     http_request request = make_request("POST", "/v1/services/booking/book", key);
     request.body = "{\"lot\":17}";
-    observation noted;
+    observation noted = begin_observation();
     noted.kind = "book";
     noted.request_id = id_of_key(fleet_, key);
     return note(send(router, request, noted));
@@ -94,11 +101,18 @@
 observation caller::position(const std::string& router) {
     http_request request = make_request("GET", "/v1/services/booking/position", "");
     request.query = "lot=17";
-    observation noted;
+    observation noted = begin_observation();
     noted.kind = "position";
     return note(send(router, request, noted));
 }
 
+observation caller::call(const std::string& router, const std::string& method, const std::string& path,
+                         const std::string& key) {
+    observation noted = begin_observation();
+    noted.kind = "call";
+    return note(send(router, make_request(method, path, key), noted));
+}
+
 observation caller::send(const std::string& router, const http_request& request, observation noted) {
     const result<http_response> reply = call_http(fleet_.process(router).address, request, caller_timeouts);
     if (!reply) {
--- a/test/system/caller.h
+++ b/test/system/caller.h
@@ -19,6 +19,7 @@
     std::string code; ///< Of an error.
     std::string ran;  ///< "no", "unknown" or "yes" as an error said.
     bool safe_to_repeat = true;
+    std::int64_t sent_at_ms = 0;
 };
 
 /// Sends requests and notes every answer. Thread-safe.
@@ -34,6 +35,10 @@
     observation book(const std::string& router, const std::string& key);
     observation position(const std::string& router);
 
+    /// Any call without a body.
+    observation call(const std::string& router, const std::string& method, const std::string& path,
+                     const std::string& key);
+
     /// Repeats with the same key at each router in turn until there is a final answer or `longest` is over.
     observation chat_until_final(const std::string& prompt, const std::string& key, bool stream,
                                  std::chrono::milliseconds longest);
--- a/test/system/checker.cpp
+++ b/test/system/checker.cpp
@@ -124,6 +124,7 @@
             run.prompt = string_member(entry, "prompt");
             run.prompt_tokens = entry["prompt_tokens"].asInt64();
             run.generated = entry["completion_tokens"].asInt64();
+            run.begun_at_ms = entry["begun_at_ms"].asInt64();
             runs_.push_back(run);
         }
     }
@@ -133,7 +134,10 @@
     for (const process_info& service : fleet_.processes("service")) {
         const Json::Value effects = get_json(service.address, "/effects");
         for (const std::string& key : effects.getMemberNames()) {
-            effects_[key] += effects[key].asInt();
+            service_effect& found = effects_[key];
+            const std::int64_t at = effects[key]["first_at_ms"].asInt64();
+            found.first_at_ms = found.count == 0 ? at : std::min(found.first_at_ms, at);
+            found.count += effects[key]["count"].asInt();
         }
     }
 }
@@ -198,8 +202,8 @@
     for (const engine_run& run : runs_) {
         used += run.prompt_tokens + run.generated;
     }
-    for (const auto& [key, count] : effects_) {
-        used += count * booking_price;
+    for (const auto& [key, found] : effects_) {
+        used += found.count * booking_price;
     }
     tokens paid = 0;
     tokens accounted = 0;
@@ -298,7 +302,7 @@
                 std::to_string(used));
         }
         const bool is_booking = effects_.contains(bill.request_id);
-        if (is_booking && bill.billed + bill.withheld != booking_price * effects_[bill.request_id]) {
+        if (is_booking && bill.billed + bill.withheld != booking_price * effects_[bill.request_id].count) {
             add("booking " + bill.request_id + " is billed " + std::to_string(bill.billed) + " tokens");
         }
     }
@@ -334,18 +338,34 @@
             add("request " + run.request_id + " was refused as not run, and ran");
         }
     }
-    for (const auto& [id, count] : effects_) {
+    for (const auto& [id, found] : effects_) {
         const auto it = all_say_no.find(id);
         if (it != all_say_no.end() && it->second) {
             add("booking " + id + " was refused as not run, and ran");
         }
     }
+    for (const observation& o : seen_) {
+        if (o.ran == "no" && had_run_before(o)) {
+            add("request " + o.request_id + " was refused as not run (" + o.code +
+                "), and had run under its key before");
+        }
+    }
+}
+
+bool checker::had_run_before(const observation& o) const {
+    const auto effect = effects_.find(o.request_id);
+    if (effect != effects_.end() && effect->second.first_at_ms < o.sent_at_ms) {
+        return true;
+    }
+    return std::any_of(runs_.begin(), runs_.end(), [&](const engine_run& run) {
+        return run.request_id == o.request_id && run.generated > 0 && run.begun_at_ms < o.sent_at_ms;
+    });
 }
 
 void checker::check_bookings() {
-    for (const auto& [id, count] : effects_) {
-        if (count > 1) {
-            add("booking " + id + " took effect " + std::to_string(count) + " times");
+    for (const auto& [id, found] : effects_) {
+        if (found.count > 1) {
+            add("booking " + id + " took effect " + std::to_string(found.count) + " times");
         }
     }
     for (const observation& o : seen_) {
--- a/test/system/checker.h
+++ b/test/system/checker.h
@@ -42,6 +42,13 @@
         std::string prompt;
         tokens prompt_tokens = 0;
         tokens generated = 0;
+        std::int64_t begun_at_ms = 0;
+    };
+
+    /// What a service did for one request id.
+    struct service_effect {
+        int count = 0;
+        std::int64_t first_at_ms = 0;
     };
 
     void read_engines();
@@ -62,12 +69,13 @@
     void add(const std::string& violation) { violations_.push_back(violation); }
 
     tokens used_by(const observation& o) const;
+    bool had_run_before(const observation& o) const;
 
     const fleet& fleet_;
     std::vector<observation> seen_;
     bool records_lost_;
     std::vector<engine_run> runs_;
-    std::map<std::string, int> effects_;
+    std::map<std::string, service_effect> effects_;
     std::vector<recorded_bill> bills_;
     std::vector<Json::Value> ledger_versions_;
     std::vector<std::int64_t> revisions_;
--- a/test/system/operations_test.cpp
+++ b/test/system/operations_test.cpp
@@ -147,6 +147,26 @@
     expect_promises_hold();
 }
 
+TEST_F(operations_test, lowered_limit_of_runs_at_once_is_in_force_at_the_agents) {
+    Json::Value document = parse_json(read_file(target.path("configuration.json")).value()).value();
+    document["defaults"]["max_running_per_backend_server"] = 1;
+    const std::string file = target.path("one-at-once.json");
+    std::ofstream(file) << to_text(document);
+    ASSERT_EQ(target.control({"apply", "--file=" + file, "--base=1", "--by=ada", "--reason=test"}).exit_code,
+              0);
+    ASSERT_TRUE(wait_until([&] { return is_in_force("router-1", 2); }, in_force_limit));
+    std::thread traffic([&] {
+        run_at_once(
+            3, [&](int i) { (void)callers.chat("router-1", "LENGTH=150 " + std::to_string(i), "", false); });
+    });
+    const auto queued = [&] {
+        return target.metric("engine-1", "runs_queued") + target.metric("engine-2", "runs_queued");
+    };
+    EXPECT_TRUE(wait_until([&] { return queued() >= 1; }, start_limit));
+    traffic.join();
+    expect_promises_hold();
+}
+
 TEST_F(operations_test, invalid_configuration_is_refused_whole) {
     EXPECT_EQ(apply(1, -5, "ada"), 2);
     EXPECT_TRUE(is_in_force("router-1", 1));
--- /dev/null
+++ b/test/system/refusal_test.cpp
@@ -0,0 +1,25 @@
+/// What a refusal says must be true, also after several attempts.
+
+#include "test/system/checker.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw::test {
+namespace {
+
+constexpr std::chrono::seconds rest_limit{30};
+
+TEST(refusal_test, request_whose_first_attempt_may_run_is_not_refused_as_not_run) {
+    const fleet target({"--routers=1", "--engines=1", "--services=1",
+                        "--failpoint=router-1/send_ticket=lose_answer:1,attach_run=unreachable"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    EXPECT_EQ(callers.chat("router-1", "LENGTH=20", "", false).ran, "unknown");
+    EXPECT_EQ(wait_for_rest(target, rest_limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
+} // namespace
+} // namespace eelgrassgw::test
--- a/test/system/repeated_key_test.cpp
+++ b/test/system/repeated_key_test.cpp
@@ -81,5 +81,107 @@
     }
 }
 
+TEST(repeated_key_drain_test, key_whose_agent_left_is_not_billed_a_second_time) {
+    fleet target({"--routers=2", "--engines=2", "--services=1"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    constexpr int keys = 6;
+    for (int i = 0; i < keys; ++i) {
+        EXPECT_TRUE(callers.chat("router-1", "LENGTH=2", "key-" + std::to_string(i), false).whole);
+    }
+    target.send_signal("engine-1", SIGTERM);
+    ASSERT_TRUE(wait_until([&] { return !target.is_running("engine-1"); }, limit));
+    for (int i = 0; i < keys; ++i) {
+        (void)callers.chat("router-2", "LENGTH=2", "key-" + std::to_string(i), false);
+    }
+    EXPECT_EQ(wait_for_rest(target, limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
+TEST(repeated_key_budget_test, key_that_ran_is_answered_although_the_budget_is_used_up) {
+    const fleet target({"--routers=2", "--engines=1", "--services=1", "--budget=400", "--smallest_grant=0"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    EXPECT_TRUE(callers.chat("router-1", "LENGTH=200", "one-key", false).whole);
+    EXPECT_EQ(callers.chat("router-2", "LENGTH=200", "", false).code, "budget_exhausted");
+    EXPECT_TRUE(callers.chat("router-2", "LENGTH=200", "one-key", false).whole);
+    EXPECT_EQ(wait_for_rest(target, limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
+class moved_key_test : public testing::Test {
+protected:
+    static constexpr int keys = 6;
+
+    void SetUp() override { ASSERT_TRUE(target.is_up()); }
+
+    std::vector<observation> send_all(const std::string& router) {
+        std::vector<observation> seen;
+        seen.reserve(keys);
+        for (int i = 0; i < keys; ++i) {
+            seen.push_back(callers.chat(router, "LENGTH=2", "key-" + std::to_string(i), false));
+        }
+        return seen;
+    }
+
+    void stop(const std::string& name, int signal) {
+        target.send_signal(name, signal);
+        ASSERT_TRUE(wait_until([&] { return !target.is_running(name); }, limit));
+    }
+
+    void expect_promises_hold() {
+        EXPECT_EQ(wait_for_rest(target, limit), "");
+        for (const std::string& violation : checker(target, callers.seen()).violations()) {
+            ADD_FAILURE() << violation;
+        }
+    }
+
+    fleet target{{"--routers=2", "--engines=2", "--services=1"}};
+    caller callers{target};
+};
+
+TEST_F(moved_key_test, key_is_answered_by_the_old_agent_after_another_one_joined) {
+    ASSERT_NO_FATAL_FAILURE(stop("engine-2", SIGTERM));
+    for (const observation& seen : send_all("router-1")) {
+        EXPECT_TRUE(seen.whole) << seen.code;
+    }
+    target.restart("engine-2");
+    ASSERT_TRUE(wait_until([&] { return target.metric("router-2", "live_agents") == 3; }, limit));
+    (void)wait_until([&] { return callers.chat("router-2", "LENGTH=2", "new", false).whole; }, limit);
+    for (const observation& seen : send_all("router-2")) {
+        EXPECT_TRUE(seen.whole) << seen.code;
+    }
+    expect_promises_hold();
+}
+
+TEST_F(moved_key_test, key_whose_agent_was_declared_lost_is_not_billed_a_second_time) {
+    (void)send_all("router-1");
+    ASSERT_NO_FATAL_FAILURE(stop("engine-1", SIGKILL));
+    EXPECT_EQ(target.control({"forget-agent", "--agent=engine-1", "--reason=its VM was deleted"}).exit_code,
+              0);
+    (void)wait_until([&] { return target.metric("router-2", "live_agents") == 2; }, limit);
+    for (const observation& seen : send_all("router-2")) {
+        EXPECT_TRUE(seen.whole || seen.code == "answer_not_kept") << seen.code;
+    }
+    expect_promises_hold();
+}
+
+TEST_F(moved_key_test, key_is_not_refused_as_not_run_by_a_router_that_stops) {
+    (void)send_all("router-1");
+    std::thread busy([&] { (void)callers.chat("router-2", "LENGTH=200", "", true); });
+    EXPECT_TRUE(wait_until([&] { return target.metric("router-2", "requests_in_flight") > 0; }, limit));
+    target.send_signal("router-2", SIGTERM);
+    for (const observation& seen : send_all("router-2")) {
+        EXPECT_NE(seen.ran, "no") << seen.code;
+    }
+    busy.join();
+    (void)wait_until([&] { return !target.is_running("router-2"); }, limit);
+    expect_promises_hold();
+}
+
 } // namespace
 } // namespace eelgrassgw::test
--- a/test/system/whole_path_test.cpp
+++ b/test/system/whole_path_test.cpp
@@ -73,6 +73,16 @@
     EXPECT_EQ(callers.book("router-1", "").code, "missing_idempotency_key");
 }
 
+TEST_F(whole_path_test, lookup_is_answered_for_its_query) {
+    const observation seen = callers.position("router-1");
+    EXPECT_EQ(seen.status, 200);
+    EXPECT_EQ(string_member(parse_json(seen.text).value(), "lot"), "17") << seen.text;
+}
+
+TEST_F(whole_path_test, booking_by_another_method_than_the_configured_one_is_refused) {
+    EXPECT_EQ(callers.call("router-1", "GET", "/v1/services/booking/book", "key").code, "method_not_allowed");
+}
+
 TEST_F(whole_path_test, chat_repeated_at_once_is_run_and_billed_once) {
     run_at_once(8, [this](int i) {
         (void)callers.chat(i % 2 == 0 ? "router-1" : "router-2", "at once", "one-key", i % 3 == 0);
