TLS for callers on a listener of its own; metrics of overspend, false refusals and the backend server's load

Cause: certificate settings were passed to the one listener that also takes the fleet's own calls, which are plain: a router with a certificate could not have been asked by its peers, and none of it had been run. Ruled out: TLS between processes, since the fleet key proves the sender and no setting names an authority yet. Change: tls_listen, certificate_file, private_key_file of the router, for callers alone; a caller's closing alert counts as leaving; the metrics; processes name themselves in their calls (x-eelgrass-sender); peers are asked at the address that they advertise.

--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -38,8 +38,6 @@
         options.port = settings_.common.listen.port;
         options.max_threads = settings_.max_connections;
         options.max_body_bytes = 8U << 20U;
-        options.certificate_file = settings_.common.certificate_file;
-        options.private_key_file = settings_.common.private_key_file;
         server_ = std::make_unique<http_server>(
             options,
             [this](const http_request& request, http_exchange& exchange) { handle(request, exchange); });
@@ -436,6 +434,7 @@
             } else if (std::chrono::steady_clock::now() >= next_check) {
                 check_registration();
                 check_vm_list();
+                watch_load();
                 if (!remembers_all_) {
                     rebuild_memory();
                 }
@@ -500,6 +499,17 @@
         return ask_recent_requests(router, settings_.common.fleet_key, params);
     }
 
+    /// The backend server's own report, which lags: for people and alarms. Routing goes by the agent's
+    /// counts, since no work reaches the backend server but through it.
+    void watch_load() {
+        const result<backend_load> load = backend_.load();
+        if (load) {
+            metrics_.set("backend_running", load.value().running);
+            metrics_.set("backend_queued", load.value().queued);
+        }
+        metrics_.set("backend_reachable", load ? 1 : 0);
+    }
+
     void check_vm_list() {
         if (!settings_.vm.empty() && !runs_.is_draining() && registration_.is_leaving(settings_.vm)) {
             leave("the platform's list says that the VM is leaving");
--- a/include/eelgrassgw/ledger/ledger_client.h
+++ b/include/eelgrassgw/ledger/ledger_client.h
@@ -139,6 +139,13 @@
         return names;
     }
 
+    /// Tokens of `budget` that nobody has spent, whoever holds them, as last seen.
+    tokens unspent(const std::string& budget) {
+        shard_state& state = state_of(budget);
+        const std::lock_guard lock(state.mutex);
+        return state.shard.free_tokens(budget) + state.shard.allowances_on(budget);
+    }
+
     /// Makes the next request look at the ledger itself, for example after another router gave tokens back.
     void forget_cached(const std::string& budget) {
         shard_state& state = state_of(budget);
--- a/include/eelgrassgw/router/attempt_runner.h
+++ b/include/eelgrassgw/router/attempt_runner.h
@@ -43,6 +43,7 @@
         if (reserved) {
             return true;
         }
+        count_false_refusal(session, order, reserved.error());
         outcome.error = admission_error(reserved.error());
         note(order, request_state::not_run, outcome.error.message);
         return false;
@@ -192,6 +193,17 @@
         session.settle(make_record(t, outcome, false), t.reserved);
     }
 
+    /// A refusal is false where the budget has enough that is not spent, and may be where it cannot be asked.
+    void count_false_refusal(Session& session, const work_order& order, const failure& cause) {
+        if (cause.code == errc::budget_unreachable) {
+            metrics_.count("false_refusals", {{"cause", "ledger_unreachable"}});
+        }
+        if (cause.code == errc::budget_exhausted &&
+            session.ledger().unspent(order.work.budget) >= order.work.reserved) {
+            metrics_.count("false_refusals", {{"cause", "held_elsewhere"}});
+        }
+    }
+
     void log_admission(const work_order& order, const result<done>& reserved) {
         metrics_.count("admissions", {{"outcome", reserved ? "admitted" : reserved.error().code.message()}});
         Json::Value fields;
--- a/include/eelgrassgw/router/internal/router_background.h
+++ b/include/eelgrassgw/router/internal/router_background.h
@@ -35,8 +35,6 @@
     options.port = settings_.common.listen.port;
     options.max_threads = settings_.max_connections;
     options.max_body_bytes = settings_.max_body_bytes;
-    options.certificate_file = settings_.common.certificate_file;
-    options.private_key_file = settings_.common.private_key_file;
     const auto ignore_failure = [](const failure&) {
     };
     agents_watcher_ = std::make_unique<prefix_watcher<Store>>(
@@ -49,6 +47,17 @@
                                                                 [this] { ask_peers_for_configuration(); });
     server_ = std::make_unique<http_server>(
         options, [this](const http_request& request, http_exchange& exchange) { handle(request, exchange); });
+    if (settings_.tls) {
+        options.address = settings_.tls->listen.address;
+        options.port = settings_.tls->listen.port;
+        options.certificate_file = settings_.tls->certificate_file;
+        options.private_key_file = settings_.tls->private_key_file;
+        tls_server_ = std::make_unique<http_server>(
+            options, [this](const http_request& request, http_exchange& exchange) {
+                const internal::in_flight_guard guard(in_flight_);
+                handle_caller(request, exchange);
+            });
+    }
     maintenance_ = std::thread([this] { maintain(); });
     recovery_ = std::thread([this] { recover_others(); });
     notification_ = std::thread([this] { notify_agents(); });
--- a/include/eelgrassgw/router/internal/router_callers.h
+++ b/include/eelgrassgw/router/internal/router_callers.h
@@ -9,18 +9,6 @@
 inline const std::string services_prefix = "/v1/services/";
 inline const std::string requests_prefix = "/v1/requests/";
 
-/// Counts a request in flight for as long as it lives.
-class in_flight_guard {
-public:
-    explicit in_flight_guard(std::atomic<int>& count) : count_(count) { ++count_; }
-    ~in_flight_guard() { --count_; }
-    in_flight_guard(const in_flight_guard&) = delete;
-    in_flight_guard& operator=(const in_flight_guard&) = delete;
-
-private:
-    std::atomic<int>& count_;
-};
-
 /// Whether the caller gave the request a key of its own.
 inline bool has_caller_key(const http_request& request) {
     return !request.header("idempotency-key").empty();
@@ -347,13 +335,16 @@
     metrics_.set("configuration_revision", static_cast<double>(configurations_.revision()));
     if (own != nullptr) {
         metrics_.set("journal_lag_records", static_cast<double>(own->journal().lag()));
+        tokens overspend = 0;
         for (const std::string& budget : own->book().budgets()) {
             const allowance_state state = own->book().state(budget);
+            overspend += std::max<tokens>(-state.available(), 0);
             metrics_.set("allowance_tokens", static_cast<double>(state.available()),
                          {{"budget", budget}, {"kind", "available"}});
             metrics_.set("allowance_tokens", static_cast<double>(state.reserved),
                          {{"budget", budget}, {"kind", "reserved"}});
         }
+        metrics_.set("overspend_tokens", static_cast<double>(overspend));
     }
     if constexpr (requires { store_.counts(); }) {
         const auto counts = store_.counts();
--- a/include/eelgrassgw/router/internal/router_peers.h
+++ b/include/eelgrassgw/router/internal/router_peers.h
@@ -106,7 +106,7 @@
         peers.push_back(peer.address);
     }
     for (const endpoint& peer : peers) {
-        if (peer == settings_.common.listen) {
+        if (peer == settings_.common.listen || peer == settings_.common.advertise) {
             continue;
         }
         const result<Json::Value> reply = call_peer(peer, settings_.common.fleet_key, "configuration",
--- a/include/eelgrassgw/router/router.h
+++ b/include/eelgrassgw/router/router.h
@@ -9,6 +9,7 @@
 #include "eelgrassgw/router/claimed_dispatcher.h"
 #include "eelgrassgw/router/departed_agents.h"
 #include "eelgrassgw/router/dispatcher.h"
+#include "eelgrassgw/router/internal/in_flight_guard.h"
 #include "eelgrassgw/router/router_session.h"
 
 #include <atomic>
@@ -115,6 +116,7 @@
     std::unique_ptr<prefix_watcher<Store>> agents_watcher_;
     std::unique_ptr<prefix_watcher<Store>> routers_watcher_;
     std::unique_ptr<http_server> server_;
+    std::unique_ptr<http_server> tls_server_; ///< For callers alone; null where the settings name none.
     std::thread maintenance_;
     std::thread recovery_;
     std::thread notification_;
--- a/include/eelgrassgw/settings/process_settings.h
+++ b/include/eelgrassgw/settings/process_settings.h
@@ -7,6 +7,7 @@
 #include "eelgrassgw/transport/http_client.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,12 +24,18 @@
     std::string fleet_key;
     std::string log_file;
     log_level least_level = log_level::info;
-    std::string certificate_file;
-    std::string private_key_file;
+};
+
+/// A second listener, for callers alone, that speaks TLS.
+struct tls_settings {
+    endpoint listen;
+    std::string certificate_file; ///< PEM.
+    std::string private_key_file; ///< PEM.
 };
 
 struct router_settings {
     common_settings common;
+    std::optional<tls_settings> tls;
     std::vector<endpoint> peers; ///< Routers to ask while the object API is down.
     std::chrono::milliseconds journal_interval{1000};
     std::chrono::milliseconds fold_interval{30000};
--- a/include/eelgrassgw/transport/http_client.h
+++ b/include/eelgrassgw/transport/http_client.h
@@ -22,6 +22,10 @@
 /// Reads "address:port"; the failure names the text.
 result<endpoint> parse_endpoint(const std::string& text);
 
+/// Names this process in every call that it sends from now on (header `x-eelgrass-sender`), so that logs and
+/// proxies on the way can tell who calls. It proves nothing. Call it once, before the first call.
+void set_sender_name(const std::string& name);
+
 struct http_timeouts {
     std::chrono::milliseconds connect{1000};
     std::chrono::milliseconds silence{5000}; ///< Longest wait for the head, or for more of the body.
--- a/src/main/agent_main.cpp
+++ b/src/main/agent_main.cpp
@@ -42,6 +42,7 @@
         return 0;
     }
     const sigset_t stops = block_stop_signals();
+    set_sender_name(settings.value().common.name);
     open_log(settings.value().common.name, settings.value().common.log_file,
              settings.value().common.least_level);
     const char* failpoints = std::getenv("EELGRASSGW_FAILPOINTS");
--- a/src/main/router_main.cpp
+++ b/src/main/router_main.cpp
@@ -29,6 +29,7 @@
     }
     const sigset_t stops = block_stop_signals();
     const common_settings& common = settings.value().common;
+    set_sender_name(common.name);
     open_log(common.name, common.log_file, common.least_level);
     const char* failpoints = std::getenv("EELGRASSGW_FAILPOINTS");
     arm_failpoints(failpoints == nullptr ? "" : failpoints);
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -47,6 +47,12 @@
     return level == "error" ? log_level::error : log_level::info;
 }
 
+void check_readable(document_reader& in, const char* name, const std::string& file) {
+    if (!read_file(file)) {
+        in.report(name, "\"" + file + "\"", "a PEM file that can be read");
+    }
+}
+
 common_settings read_common(document_reader& in) {
     common_settings common;
     common.name = in.text("name");
@@ -67,11 +73,28 @@
     }
     common.log_file = in.text_or("log_file", "");
     common.least_level = read_level(in);
-    common.certificate_file = in.text_or("certificate_file", "");
-    common.private_key_file = in.text_or("private_key_file", "");
     return common;
 }
 
+/// The three fields belong together: all are given, or none.
+std::optional<tls_settings> read_tls(document_reader& in) {
+    const std::string listen = in.text_or("tls_listen", "");
+    tls_settings tls;
+    tls.certificate_file = in.text_or("certificate_file", "");
+    tls.private_key_file = in.text_or("private_key_file", "");
+    if (listen.empty() && tls.certificate_file.empty() && tls.private_key_file.empty()) {
+        return std::nullopt;
+    }
+    const result<endpoint> parsed = parse_endpoint(listen);
+    if (!parsed) {
+        in.report("tls_listen", "\"" + listen + "\"", "<IP number>:<port 1 to 65535>");
+    }
+    check_readable(in, "certificate_file", tls.certificate_file);
+    check_readable(in, "private_key_file", tls.private_key_file);
+    tls.listen = parsed ? parsed.value() : endpoint{};
+    return tls;
+}
+
 failure settings_failure(const std::string& file, const document_reader& in) {
     std::string lines;
     for (const std::string& error : in.errors()) {
@@ -112,6 +135,7 @@
     document_reader in(document.value(), file);
     router_settings s;
     s.common = read_common(in);
+    s.tls = read_tls(in);
     s.peers = read_endpoints(in, "peers");
     s.journal_interval = in.milliseconds_or("journal_interval_ms", 10, 60000, s.journal_interval);
     s.fold_interval = in.milliseconds_or("fold_interval_ms", 10, hour_ms, s.fold_interval);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -62,6 +62,11 @@
     }
 }
 
+std::string& sender_name() {
+    static std::string name;
+    return name;
+}
+
 cxxtools::http::Request to_library_request(const http_request& from) {
     const std::string query = from.query.empty() ? "" : "?" + from.query; // The library drops qparams().
     cxxtools::http::Request request(percent_encode(from.path) + query);
@@ -69,6 +74,9 @@
     for (const auto& field : from.headers) {
         request.setHeader(field.first.c_str(), field.second.c_str());
     }
+    if (!sender_name().empty()) {
+        request.setHeader("x-eelgrass-sender", sender_name().c_str());
+    }
     request.body() << from.body;
     return request;
 }
@@ -158,6 +166,10 @@
 
 } // namespace
 
+void set_sender_name(const std::string& name) {
+    sender_name() = name;
+}
+
 std::string endpoint::text() const {
     return address + ":" + std::to_string(port);
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -106,7 +106,8 @@
     bool peer_gone() override {
         char byte = 0;
         const ssize_t n = ::recv(socket_.getFd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return broken_ || n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        const bool says_goodbye = n == 1 && byte == tls_alert; // A TLS caller closes with an alert.
+        return broken_ || n == 0 || says_goodbye || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
     bool started() const override { return started_; }
@@ -119,6 +120,8 @@
     }
 
 private:
+    static constexpr char tls_alert = 21; ///< Type of a TLS record; no HTTP request begins with it.
+
     bool write_all(const std::string& data) {
         if (broken_) {
             return false;
