Data centres apart: agents know routers without a look, tickets are barred by nonce; a column of the matrix

With a proxy that knows the sender two faults came out. (1) An agent refused a router that it had not met while the object API could not be asked: router-2 was not served for 30 s in its own data centre. (2) A lost booking ticket barred its request id at the only service, so the key was refused for an hour: drain_fault_test with data centres apart took 34 s, 26 of them useless repetitions. Conclusion: both sides of a parted fleet serve from their allowances, and a lost ticket costs a booking one more send.

--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -180,7 +180,7 @@
                    "this agent does not yet know which requests ran here before it restarted", poll_interval);
             return false;
         }
-        return check_router(t.router, exchange);
+        return check_router(t, exchange);
     }
 
     /// Takes over a newer revision and the limit that goes with it. Returns the revision in force.
@@ -195,10 +195,12 @@
         return revision_;
     }
 
-    bool check_router(const std::string& router, http_exchange& exchange) {
+    bool check_router(const ticket& t, http_exchange& exchange) {
+        const std::string& router = t.router;
         {
             const std::lock_guard lock(mutex_);
-            if (admitted_routers_.contains(router)) {
+            if (admitted_routers_.contains(router) ||
+                registration_.will_be_asked_about(t.router_registered_at)) {
                 return true;
             }
         }
@@ -332,8 +334,8 @@
         rpc_.add("status", [this](const Json::Value& params) {
             return describe(runs_.status(string_member(params, "request_id")));
         });
-        rpc_.add("tombstone", [this](const Json::Value& params) {
-            return describe(runs_.tombstone(string_member(params, "request_id")));
+        rpc_.add("bar", [this](const Json::Value& params) {
+            return describe(runs_.bar(string_member(params, "request_id"), string_member(params, "nonce")));
         });
         rpc_.add("journalled", [this](const Json::Value& params) { return mark_journalled(params); });
         rpc_.add("abandon", [this](const Json::Value& params) { return abandon(params); });
@@ -375,7 +377,7 @@
         Json::Value reply;
         reply["agent"] = incarnation_;
         reply["known"] = status.known;
-        reply["tombstoned"] = status.tombstoned;
+        reply["barred"] = status.barred;
         reply["ran_before"] = status.ran_before;
         reply["remembers_all"] = remembers_all_.load();
         if (status.the_run != nullptr) {
@@ -466,6 +468,7 @@
             log("take_over_failed", fields);
             return;
         }
+        look_up_routers();
         registered_ = true;
         rebuild_memory();
         Json::Value fields;
@@ -473,6 +476,23 @@
         log("registered", fields);
     }
 
+    /// Looks all routers up at once, after the registration, so that an outage of the object API finds them
+    /// known. One that is missed here is looked up with its first ticket.
+    void look_up_routers() {
+        const result<std::vector<router_member>> routers = registration_.routers();
+        if (!routers) {
+            return;
+        }
+        const std::lock_guard lock(mutex_);
+        for (const router_member& router : routers.value()) {
+            if (is_open(router.state)) {
+                admitted_routers_.insert(router.incarnation);
+            } else {
+                runs_.seal(router.incarnation);
+            }
+        }
+    }
+
     /// Learns which requests ran at this backend server, so that a repeated key is known although the
     /// predecessor's memory is gone. Until all have answered, tickets with a key are refused.
     void rebuild_memory() {
--- a/include/eelgrassgw/membership/agent_registration.h
+++ b/include/eelgrassgw/membership/agent_registration.h
@@ -35,7 +35,7 @@
                 return previous.error();
             }
             if (previous.value().incarnation == self_.incarnation) {
-                self_.version = existing.value()->version;
+                note_registered(existing.value()->version);
                 return done{};
             }
             const result<done> noted = note_predecessor(previous.value());
@@ -49,10 +49,17 @@
         if (!written) {
             return written.error();
         }
-        self_.version = written.value();
+        note_registered(written.value());
         return done{};
     }
 
+    /// Whether a router that registered at store version `registered_at` needs no look: its recovery can only
+    /// begin later, so it will list this agent and ask it. Precondition: this agent is registered.
+    bool will_be_asked_about(object_version registered_at) const {
+        const std::lock_guard lock(mutex_);
+        return registered_at > registered_at_;
+    }
+
     /// Whether `router` may still have tickets run. Errors: the object API cannot be asked.
     result<bool> is_live(const std::string& router) {
         const result<std::optional<stored_object>> object = store_.get(router_key(router));
@@ -66,7 +73,23 @@
         if (!found) {
             return found.error();
         }
-        return found.value().state == member_state::live || found.value().state == member_state::draining;
+        return is_open(found.value().state);
+    }
+
+    /// All routers that have an entry, closed ones included.
+    result<std::vector<router_member>> routers() {
+        const result<object_changes> listed = store_.list(routers_prefix);
+        if (!listed) {
+            return listed.error();
+        }
+        std::vector<router_member> found;
+        for (const stored_object& object : listed.value().changed) {
+            const result<router_member> router = router_member::from_object(object);
+            if (router) {
+                found.push_back(router.value());
+            }
+        }
+        return found;
     }
 
     /// Changes the state in the entry. Errors: `fenced` where another incarnation took the entry.
@@ -121,19 +144,9 @@
     }
 
 private:
-    result<std::vector<router_member>> routers() {
-        const result<object_changes> listed = store_.list(routers_prefix);
-        if (!listed) {
-            return listed.error();
-        }
-        std::vector<router_member> found;
-        for (const stored_object& object : listed.value().changed) {
-            const result<router_member> router = router_member::from_object(object);
-            if (router) {
-                found.push_back(router.value());
-            }
-        }
-        return found;
+    void note_registered(object_version version) {
+        self_.version = version;
+        registered_at_ = version;
     }
 
     result<done> note_predecessor(const agent_member& previous) {
@@ -186,6 +199,7 @@
     Store& store_;
     mutable std::mutex mutex_;
     agent_member self_;
+    object_version registered_at_ = absent_version;
 };
 
 } // namespace eelgrassgw
--- a/include/eelgrassgw/membership/member.h
+++ b/include/eelgrassgw/membership/member.h
@@ -19,6 +19,12 @@
 };
 
 const char* to_text(member_state state);
+
+/// Whether a router in `state` may still have tickets run.
+constexpr bool is_open(member_state state) {
+    return state == member_state::live || state == member_state::draining;
+}
+
 result<member_state> member_state_from_text(const std::string& text);
 
 /// An agent incarnation that was replaced without having closed, so that its records are lost.
--- a/include/eelgrassgw/membership/router_registration.h
+++ b/include/eelgrassgw/membership/router_registration.h
@@ -20,7 +20,17 @@
     /// Creates the entry. Safe to repeat after a lost answer.
     result<done> register_now() {
         const std::lock_guard lock(mutex_);
-        return write_entry(member_state::live);
+        const result<done> written = write_entry(member_state::live);
+        if (written) {
+            registered_at_ = self_.version;
+        }
+        return written;
+    }
+
+    /// Version of the store at the registration; absent before it.
+    object_version registered_at() const {
+        const std::lock_guard lock(mutex_);
+        return registered_at_;
     }
 
     /// Changes the state in the entry. Errors: `fenced` where recovery sealed this incarnation.
@@ -91,8 +101,9 @@
     }
 
     Store& store_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     router_member self_;
+    object_version registered_at_ = absent_version;
     std::uint64_t beats_ = 0;
     object_version heartbeat_version_ = absent_version;
 };
--- a/include/eelgrassgw/router/agent_call.h
+++ b/include/eelgrassgw/router/agent_call.h
@@ -93,8 +93,12 @@
         return follow_to_end(agent, t, position, skipping);
     }
 
-    /// Asks what became of `request_id`; with `bar` the agent promises never to run it unless it knows it.
-    result<Json::Value> ask_status(const agent_member& agent, const std::string& request_id, bool bar) const;
+    /// Asks what became of `request_id`.
+    result<Json::Value> ask_status(const agent_member& agent, const std::string& request_id) const;
+
+    /// As above, and the agent promises never to run the ticket with `nonce`, unless it has begun.
+    result<Json::Value> bar_ticket(const agent_member& agent, const std::string& request_id,
+                                   const std::string& nonce) const;
 
     /// Tells an agent which records it need not keep any more. Returns whether it heard.
     bool tell_journalled(const agent_member& agent, const std::vector<std::string>& request_ids) const;
--- a/include/eelgrassgw/router/attempt_runner.h
+++ b/include/eelgrassgw/router/attempt_runner.h
@@ -72,6 +72,7 @@
                        int attempt) const {
         ticket t = order.work;
         t.router = session.incarnation();
+        t.router_registered_at = session.registration().registered_at();
         t.agent = agent.incarnation;
         t.nonce = random_id();
         t.attempt = attempt;
--- a/include/eelgrassgw/router/claimed_dispatcher.h
+++ b/include/eelgrassgw/router/claimed_dispatcher.h
@@ -29,13 +29,12 @@
             if (existing.value() && !may_take(*existing.value(), order, sink, outcome)) {
                 return outcome;
             }
-            const std::optional<agent_member> agent = next_agent(order, existing.value(), tried);
+            const std::optional<agent_member> agent = next_agent(order, tried);
             if (!agent) {
                 outcome.error = refused_error({});
                 outcome.error.message = "no agent serves \"" + order.served_name + "\" at the moment.";
                 return outcome;
             }
-            tried.push_back(agent->backend_server);
             if (!attempts_.reserve(*session, order, outcome)) {
                 return outcome;
             }
@@ -46,7 +45,6 @@
             if (!claimed) {
                 session->release(order.work.budget, order.work.reserved);
                 if (claimed.failed_with(errc::version_conflict)) {
-                    tried.pop_back();
                     continue;
                 }
                 outcome.error = claim_unreachable_error(claimed.error());
@@ -54,7 +52,7 @@
                 return outcome;
             }
             failpoint("claim_written");
-            if (send_claimed(session, order, t, *agent, claimed.value(), sink, outcome)) {
+            if (send_claimed(session, order, t, *agent, claimed.value(), sink, outcome, tried)) {
                 return outcome;
             }
         }
@@ -104,12 +102,12 @@
                 unknown_error("agent \"" + c.agent + "\" was lost with its record", c.agent, false);
             return false;
         }
-        const result<Json::Value> status = attempts_.caller().ask_status(*agent, c.request_id, true);
+        const result<Json::Value> status = attempts_.caller().bar_ticket(*agent, c.request_id, c.nonce);
         if (!status || string_member(status.value(), "agent") != c.agent) {
             outcome.error = unknown_error("agent \"" + c.agent + "\" does not answer", c.agent, false);
             return false;
         }
-        if (bool_member(status.value(), "tombstoned")) {
+        if (bool_member(status.value(), "barred")) {
             return true;
         }
         const result<run_outcome> known = run_outcome::from_json(member(status.value(), "outcome"));
@@ -121,13 +119,11 @@
         return false;
     }
 
+    /// The first agent of the order that was not tried yet.
     std::optional<agent_member> next_agent(const work_order& order,
-                                           const std::optional<stored_claim>& existing,
                                            const std::vector<std::string>& tried) const {
         for (const agent_member& agent : attempts_.live_agents(order)) {
-            const bool was_tried = std::find(tried.begin(), tried.end(), agent.backend_server) != tried.end();
-            const bool is_barred = existing && existing->value.backend_server == agent.backend_server;
-            if (!was_tried && !is_barred) {
+            if (std::find(tried.begin(), tried.end(), agent.backend_server) == tried.end()) {
                 return agent;
             }
         }
@@ -148,11 +144,12 @@
         return c;
     }
 
-    /// Sends a claimed call. Returns false where it did not run and another agent may be tried.
+    /// Sends a claimed call. Returns false where it did not run and may be sent again, to an agent that is
+    /// not in `tried`.
     template <class Sink>
     bool send_claimed(const std::shared_ptr<Session>& session, const work_order& order, const ticket& t,
                       const agent_member& agent, const stored_claim& claimed, Sink& sink,
-                      dispatch_result& outcome) {
+                      dispatch_result& outcome, std::vector<std::string>& tried) {
         capturing_sink<Sink> capturing{sink, ""};
         const call_result sent = attempts_.send(*session, agent, t, order, capturing);
         if (attempts_.is_ended(sent)) {
@@ -168,9 +165,14 @@
             session->release(t.budget, t.reserved);
             outcome.error = refused_error(sent);
             attempts_.note(order, request_state::not_run, outcome.error.message);
+            if (sent.code != "barred") { // A lost ticket says nothing about its agent.
+                tried.push_back(agent.backend_server);
+            }
             claim freed = claimed.value;
             freed.state = claim_state::not_run;
-            return !claims_.write(freed, claimed.version).ok();
+            const result<stored_claim> written = claims_.write(freed, claimed.version);
+            // Where another router has taken the claim over, the next round meets its run.
+            return !written && !written.failed_with(errc::version_conflict);
         }
         attempts_.leave_open({session, t, agent, false});
         outcome.caller_gone = sent.end == call_end::caller_gone;
--- a/include/eelgrassgw/router/dispatcher.h
+++ b/include/eelgrassgw/router/dispatcher.h
@@ -66,6 +66,8 @@
             }
             if (last.code == "stale_configuration") {
                 attempts_.refresh_configuration();
+            }
+            if (may_be_sent_again(order, last)) {
                 agents.insert(agents.begin() + static_cast<std::ptrdiff_t>(i) + 1, agents[i]);
             }
             if (last.code == "ran_before") {
@@ -125,7 +127,7 @@
         }
         // A request with the caller's key runs at the first agent of its order, or at a later one only where
         // the earlier ones never will run it: else a repetition could run a second time.
-        if (!order.has_caller_key || last.code == "stale_configuration" || is_barred_for_good(last)) {
+        if (!order.has_caller_key || may_be_sent_again(order, last) || last.code == "draining") {
             return false;
         }
         const bool surely_not_run =
@@ -134,8 +136,9 @@
         return true;
     }
 
-    static bool is_barred_for_good(const call_result& last) {
-        return last.code == "draining" || last.code == "barred";
+    /// Whether the same agent may take another ticket for the order. A request with a key has no other one.
+    static bool may_be_sent_again(const work_order& order, const call_result& last) {
+        return last.code == "stale_configuration" || (order.has_caller_key && last.code == "barred");
     }
 
     attempt_runner<Session>& attempts_;
--- a/include/eelgrassgw/router/earlier_run.h
+++ b/include/eelgrassgw/router/earlier_run.h
@@ -61,7 +61,7 @@
 
     template <class Sink>
     finding ask(const work_order& order, const agent_member& agent, Sink& sink, dispatch_result& outcome) {
-        const result<Json::Value> status = attempts_.caller().ask_status(agent, order.work.request_id, false);
+        const result<Json::Value> status = attempts_.caller().ask_status(agent, order.work.request_id);
         if (!status || string_member(status.value(), "agent") != agent.incarnation) {
             outcome.error = earlier_run_unknown_error("agent \"" + agent.incarnation + "\" does not answer");
             return finding::settled;
--- a/include/eelgrassgw/router/internal/router_callers.h
+++ b/include/eelgrassgw/router/internal/router_callers.h
@@ -297,7 +297,7 @@
         return own->to_json(request_id);
     }
     for (const agent_member& agent : view_.agents()) {
-        const result<Json::Value> status = caller_.ask_status(agent, request_id, false);
+        const result<Json::Value> status = caller_.ask_status(agent, request_id);
         if (!status || string_member(status.value(), "customer") != customer) {
             continue;
         }
--- a/include/eelgrassgw/router/settler.h
+++ b/include/eelgrassgw/router/settler.h
@@ -106,7 +106,8 @@
             finish(entry, request_state::not_run, "the agent closed without having run it");
             return true;
         }
-        const result<Json::Value> status = caller_.ask_status(entry.agent, entry.sent.request_id, true);
+        const result<Json::Value> status =
+            caller_.bar_ticket(entry.agent, entry.sent.request_id, entry.sent.nonce);
         if (!status || string_member(status.value(), "agent") != entry.agent.incarnation) {
             return false;
         }
@@ -115,7 +116,7 @@
 
     bool settle_by_status(const unsettled_ticket<Session>& entry, const Json::Value& status) {
         const bool is_own = string_member(status, "nonce") == entry.sent.nonce;
-        if (bool_member(status, "tombstoned") || !is_own) {
+        if (bool_member(status, "barred") || !is_own) {
             entry.session->release(entry.sent.budget, entry.sent.reserved);
             finish(entry, request_state::not_run, "the ticket did not arrive and is barred");
             return true;
--- a/include/eelgrassgw/run/run_table.h
+++ b/include/eelgrassgw/run/run_table.h
@@ -20,8 +20,8 @@
 /// What a router learns of a request id.
 struct run_status {
     bool known = false;
-    std::shared_ptr<run> the_run; ///< Null for a tombstone or an unknown id.
-    bool tombstoned = false;      ///< Did not run here and never will.
+    std::shared_ptr<run> the_run; ///< Null where nothing of the id runs or ran here.
+    bool barred = false;          ///< The ticket that was asked about did not run here and never will.
     bool ran_before = false;      ///< May have run here before this agent started.
 };
 
@@ -37,8 +37,8 @@
     explicit run_table(run_table_options options) : options_(options) {}
 
     /// Takes a ticket, or finds the run of its request id. Errors: `draining`; `fenced` (the router's
-    /// incarnation is sealed); `key_reused`; `ran_before`; `refused` (the id is
-    /// tombstoned, or this very ticket was refused before). A refused ticket is refused for good, however
+    /// incarnation is sealed); `key_reused`; `ran_before`; `refused` (this very ticket
+    /// was barred, or refused before). A refused ticket is refused for good, however
     /// late a copy of it comes.
     result<accepted_ticket> accept(const ticket& t);
 
@@ -48,13 +48,14 @@
     /// Ids with a caller's own key that ran here or may have, to be left behind at a planned stop.
     std::vector<std::string> keyed_requests() const;
 
-    /// Refuses every ticket with `nonce` from now on.
+    /// Refuses the ticket with `nonce` from now on.
     void bar_nonce(const std::string& nonce);
 
     run_status status(const std::string& request_id) const;
 
-    /// Promises that `request_id` never runs here, unless it is already known. Returns what is known.
-    run_status tombstone(const std::string& request_id);
+    /// Promises that the ticket with `nonce` never runs here, unless it is the one that started the run of
+    /// `request_id`. Returns what is known of that run. Another ticket for the same request may come.
+    run_status bar(const std::string& request_id, const std::string& nonce);
 
     /// From now on no ticket of `router` is taken.
     void seal(const std::string& router);
@@ -82,11 +83,11 @@
 
 private:
     result<accepted_ticket> take_new(const ticket& t);
+    run_status status_of(const std::string& request_id) const;
 
     run_table_options options_;
     mutable std::mutex mutex_;
     std::map<std::string, std::shared_ptr<run>> runs_;
-    std::map<std::string, steady_time> tombstones_;
     std::map<std::string, steady_time> ran_before_;
     std::map<std::string, steady_time> barred_nonces_;
     std::set<std::string> sealed_routers_;
--- a/include/eelgrassgw/run/ticket.h
+++ b/include/eelgrassgw/run/ticket.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassgw/base/json.h"
 #include "eelgrassgw/configuration/configuration.h"
+#include "eelgrassgw/platform/object_store.h"
 
 #include <chrono>
 #include <string>
@@ -15,7 +16,8 @@
     std::string request_id;
     std::string customer;
     std::string budget;
-    std::string router; ///< Incarnation of the router whose allowance pays.
+    std::string router;                                   ///< Incarnation of the router whose allowance pays.
+    object_version router_registered_at = absent_version; ///< Version of the store at its registration.
     std::string agent;  ///< Incarnation of the agent that shall run it; any other refuses.
     std::string digest; ///< Of the caller's body, to tell a repeated key from a reused one.
     std::string priority = "normal";
--- a/src/router/agent_call.cpp
+++ b/src/router/agent_call.cpp
@@ -106,7 +106,7 @@
 
 call_result agent_caller::resolve_absent(const agent_member& agent, const ticket& t,
                                          const stream_position& position) const {
-    const result<Json::Value> status = ask_status(agent, t.request_id, true);
+    const result<Json::Value> status = bar_ticket(agent, t.request_id, t.nonce);
     if (!status) {
         return make_result(call_end::unknown, status.error().text(), position);
     }
@@ -116,7 +116,7 @@
                                string_member(status.value(), "agent") + "\"",
                            position);
     }
-    if (bool_member(status.value(), "tombstoned")) {
+    if (bool_member(status.value(), "barred")) {
         call_result barred =
             make_result(call_end::refused, "the ticket did not arrive and is barred", position);
         barred.code = "barred";
@@ -125,11 +125,18 @@
     return make_result(call_end::unknown, "the run appeared meanwhile", position);
 }
 
-result<Json::Value> agent_caller::ask_status(const agent_member& agent, const std::string& request_id,
-                                             bool bar) const {
+result<Json::Value> agent_caller::ask_status(const agent_member& agent, const std::string& request_id) const {
     Json::Value params;
     params["request_id"] = request_id;
-    return call_peer(agent.address, fleet_key_, bar ? "tombstone" : "status", params, stream_timeouts);
+    return call_peer(agent.address, fleet_key_, "status", params, stream_timeouts);
+}
+
+result<Json::Value> agent_caller::bar_ticket(const agent_member& agent, const std::string& request_id,
+                                             const std::string& nonce) const {
+    Json::Value params;
+    params["request_id"] = request_id;
+    params["nonce"] = nonce;
+    return call_peer(agent.address, fleet_key_, "bar", params, stream_timeouts);
 }
 
 bool agent_caller::tell_journalled(const agent_member& agent,
--- a/src/run/run_table.cpp
+++ b/src/run/run_table.cpp
@@ -39,10 +39,6 @@
         return make_failure(errc::ran_before, "accept ticket", "",
                             "request \"" + t.request_id + "\" may have run here before this agent restarted");
     }
-    if (tombstones_.contains(t.request_id)) {
-        return make_failure(errc::refused, "accept ticket", "",
-                            "request \"" + t.request_id + "\" is barred here after a lost answer");
-    }
     if (sealed_routers_.contains(t.router)) {
         return make_failure(errc::fenced, "accept ticket", "", "router \"" + t.router + "\" is sealed");
     }
@@ -86,22 +82,25 @@
 
 run_status run_table::status(const std::string& request_id) const {
     const std::lock_guard lock(mutex_);
+    return status_of(request_id);
+}
+
+run_status run_table::status_of(const std::string& request_id) const {
     const auto it = runs_.find(request_id);
     if (it != runs_.end()) {
         return {true, it->second, false, false};
     }
-    const bool tombstoned = tombstones_.contains(request_id);
-    return {tombstoned, nullptr, tombstoned, ran_before_.contains(request_id)};
+    return {false, nullptr, false, ran_before_.contains(request_id)};
 }
 
-run_status run_table::tombstone(const std::string& request_id) {
+run_status run_table::bar(const std::string& request_id, const std::string& nonce) {
     const std::lock_guard lock(mutex_);
-    const auto it = runs_.find(request_id);
-    if (it != runs_.end()) {
-        return {true, it->second, false, false};
+    run_status found = status_of(request_id);
+    if (found.the_run == nullptr || found.the_run->work().nonce != nonce) {
+        barred_nonces_[nonce] = std::chrono::steady_clock::now();
     }
-    tombstones_[request_id] = std::chrono::steady_clock::now();
-    return {true, nullptr, true, ran_before_.contains(request_id)};
+    found.barred = found.the_run == nullptr;
+    return found;
 }
 
 void run_table::seal(const std::string& router) {
@@ -191,7 +190,6 @@
     const auto is_old = [&](const auto& entry) {
         return now - entry.second > options_.record_retention;
     };
-    std::erase_if(tombstones_, is_old);
     std::erase_if(ran_before_, is_old);
     std::erase_if(barred_nonces_, is_old);
 }
--- a/src/run/ticket.cpp
+++ b/src/run/ticket.cpp
@@ -8,6 +8,7 @@
     to["customer"] = customer;
     to["budget"] = budget;
     to["router"] = router;
+    to["router_registered_at"] = Json::UInt64(router_registered_at);
     to["agent"] = agent;
     to["digest"] = digest;
     to["priority"] = priority;
@@ -35,6 +36,7 @@
     t.customer = string_member(from, "customer");
     t.budget = string_member(from, "budget");
     t.router = string_member(from, "router");
+    t.router_registered_at = static_cast<object_version>(int_member(from, "router_registered_at"));
     t.agent = string_member(from, "agent");
     t.digest = string_member(from, "digest");
     t.priority = string_member(from, "priority", "normal");
--- a/test/run_table_test.cpp
+++ b/test/run_table_test.cpp
@@ -42,14 +42,25 @@
     EXPECT_TRUE(table.accept(other).failed_with(errc::key_reused));
 }
 
-TEST_F(run_table_test, tombstoned_request_never_runs) {
-    (void)table.tombstone("a");
+TEST_F(run_table_test, barred_ticket_never_runs) {
+    EXPECT_TRUE(table.bar("a", "n1").barred);
     EXPECT_TRUE(table.accept(make_ticket("a")).failed_with(errc::refused));
 }
 
-TEST_F(run_table_test, known_run_cannot_be_tombstoned) {
+TEST_F(run_table_test, another_ticket_for_the_request_of_a_barred_one_runs) {
+    (void)table.bar("a", "n1");
+    EXPECT_TRUE(table.accept(make_ticket("a", "n2")).value().is_new);
+}
+
+TEST_F(run_table_test, ticket_that_began_cannot_be_barred) {
     (void)table.accept(make_ticket("a"));
-    EXPECT_FALSE(table.tombstone("a").tombstoned);
+    EXPECT_FALSE(table.bar("a", "n1").barred);
+}
+
+TEST_F(run_table_test, ticket_barred_beside_a_run_never_replaces_it) {
+    end_run(*table.accept(make_ticket("a")).value().the_run, run_state::not_run);
+    (void)table.bar("a", "n2");
+    EXPECT_TRUE(table.accept(make_ticket("a", "n2")).failed_with(errc::refused));
 }
 
 TEST_F(run_table_test, sealed_router_is_refused) {
--- a/test/stand_ins/fault_proxy.cpp
+++ b/test/stand_ins/fault_proxy.cpp
@@ -1,7 +1,8 @@
 /// A TCP proxy that fails on order. Modes: pass; cut (closes connections and refuses new ones); freeze (holds
 /// all bytes); lose_answers (the request arrives, its answer never does); lose_requests (the request is held
 /// back for good); cut_answers (the request arrives, and the connection breaks at its answer);
-/// delay_requests (connections are held for `delay_ms` first).
+/// delay_requests (connections are held for `delay_ms` first). Beside the mode, `cut_from` names processes
+/// whose connections break: that is how two data centres are parted.
 
 #include "eelgrassgw/base/json.h"
 #include "test/stand_ins/stand_in.h"
@@ -26,6 +27,7 @@
 namespace eelgrassgw::stand_in {
 
 constexpr std::chrono::milliseconds poll_interval{20};
+constexpr std::chrono::seconds head_limit{5};
 
 sockaddr_in to_sockaddr(const endpoint& at) {
     sockaddr_in address{};
@@ -45,6 +47,8 @@
             const std::lock_guard lock(mutex_);
             mode_ = string_member(body.value(), "mode", "pass");
             delay_ = std::chrono::milliseconds(int_member(body.value(), "delay_ms"));
+            const std::vector<std::string> senders = texts_of(member(body.value(), "cut_from"));
+            cut_from_ = {senders.begin(), senders.end()};
         }
         Json::Value reply;
         reply["mode"] = mode();
@@ -67,6 +71,30 @@
         return mode_;
     }
 
+    bool is_cut_from(const std::string& sender) {
+        const std::lock_guard lock(mutex_);
+        return cut_from_.contains(sender);
+    }
+
+    /// Who opened the connection, from the head of its first request. Empty where it does not say.
+    static std::string sender_of(int client) {
+        const std::string header = "x-eelgrass-sender: ";
+        const auto limit = std::chrono::steady_clock::now() + head_limit;
+        std::array<char, 16384> buf{};
+        while (std::chrono::steady_clock::now() < limit) {
+            pollfd ready{client, POLLIN, 0};
+            (void)::poll(&ready, 1, static_cast<int>(poll_interval.count()));
+            const ssize_t n = ::recv(client, buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
+            const std::string head(buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+            if (n == 0 || head.find("\r\n\r\n") != std::string::npos) {
+                const std::size_t at = head.find(header);
+                const std::size_t begin = at + header.size();
+                return at == std::string::npos ? "" : head.substr(begin, head.find("\r\n", begin) - begin);
+            }
+        }
+        return {};
+    }
+
     int open_listener() const {
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
@@ -98,20 +126,21 @@
         if (mode_at_start == "delay_requests") {
             std::this_thread::sleep_for(delay_);
         }
+        const std::string sender = sender_of(client);
         const int server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const sockaddr_in address = to_sockaddr(target_);
         if (::connect(server, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
-            pump(client, server, mode_at_start);
+            pump(client, server, mode_at_start, sender);
         }
         ::close(server);
         ::close(client);
     }
 
-    void pump(int client, int server, const std::string& mode_at_start) {
+    void pump(int client, int server, const std::string& mode_at_start, const std::string& sender) {
         bool client_open = true;
         for (;;) {
             const std::string now = mode();
-            if (now == "cut") {
+            if (now == "cut" || is_cut_from(sender)) {
                 return;
             }
             if (now == "freeze") {
@@ -150,6 +179,7 @@
     endpoint target_;
     std::mutex mutex_;
     std::string mode_ = "pass";
+    std::set<std::string> cut_from_;
     std::chrono::milliseconds delay_{0};
 };
 
--- a/test/system/drain_test.cpp
+++ b/test/system/drain_test.cpp
@@ -52,7 +52,8 @@
         for (const char* fault : {"unreachable", "lose_request", "lose_answer", "late", "twice", "slow"}) {
             cases.push_back({fault, process, entry + fault + ":2"});
         }
-        for (const char* fault : {"killed", "frozen", "cut", "partition", "object_api_stopped"}) {
+        for (const char* fault :
+             {"killed", "frozen", "cut", "partition", "data_centres_apart", "object_api_stopped"}) {
             cases.push_back({fault, process, ""});
         }
     }
@@ -74,6 +75,10 @@
             target.set_proxy(proxy, "cut");
             std::this_thread::sleep_for(c.fault == "cut" ? short_time : longer_than_trusted);
             target.set_proxy(proxy, "pass");
+        } else if (c.fault == "data_centres_apart") {
+            target.part_data_centres("lag-b");
+            std::this_thread::sleep_for(longer_than_trusted);
+            target.join_data_centres();
         } else if (c.fault == "object_api_stopped") {
             target.send_signal("object-api", SIGSTOP);
             std::this_thread::sleep_for(longer_than_trusted);
--- a/test/system/fault_cell.cpp
+++ b/test/system/fault_cell.cpp
@@ -109,6 +109,7 @@
     with_proxies.arguments.push_back("--proxies");
     cells.push_back(make_cell(with_proxies, place, "cut", fault_kind::cut, "freeze"));
     cells.push_back(make_cell(with_proxies, place, "partition", fault_kind::partition, "freeze"));
+    cells.push_back(make_cell(with_proxies, place, "data_centres_apart", fault_kind::apart, "freeze"));
     cells.push_back(make_cell(with_proxies, place, "object_api_stopped", fault_kind::api_stopped, "freeze"));
 }
 
--- a/test/system/fault_cell.h
+++ b/test/system/fault_cell.h
@@ -17,6 +17,7 @@
     freeze,       ///< The process stops for longer than it is trusted, then goes on.
     cut,          ///< At the place, all connections of the agents break for a moment.
     partition,    ///< At the place, the process is cut from the object API for longer than it is trusted.
+    apart,        ///< At the place, two data centres part; the object API stays with the other one.
     api_stopped,  ///< At the place, the object API stops for everybody.
     kill_both,    ///< The router ends, and so does every agent of an engine; the agents come back.
 };
--- a/test/system/fault_matrix_test.cpp
+++ b/test/system/fault_matrix_test.cpp
@@ -59,6 +59,10 @@
     }
 }
 
+std::string other_data_centre(const process_info& process) {
+    return process.data_centre == "lag-a" ? "lag-b" : "lag-a";
+}
+
 /// The process is held at the place: the fault begins, the process goes on, and later the fault ends.
 void bring_outside_fault(const fault_cell& cell, const fleet& target) {
     const std::string api_proxy = "api-" + cell.process;
@@ -75,6 +79,12 @@
         std::this_thread::sleep_for(longer_than_trusted);
         target.set_proxy(api_proxy, "pass");
         break;
+    case fault_kind::apart:
+        target.part_data_centres(other_data_centre(target.process(cell.process)));
+        target.send_signal(cell.process, SIGCONT);
+        std::this_thread::sleep_for(longer_than_trusted);
+        target.join_data_centres();
+        break;
     default:
         target.send_signal("object-api", SIGSTOP);
         target.send_signal(cell.process, SIGCONT);
@@ -96,7 +106,7 @@
         return;
     }
     if (cell.kind == fault_kind::cut || cell.kind == fault_kind::partition ||
-        cell.kind == fault_kind::api_stopped) {
+        cell.kind == fault_kind::apart || cell.kind == fault_kind::api_stopped) {
         bring_outside_fault(cell, target);
         return;
     }
--- a/test/system/fleet.cpp
+++ b/test/system/fleet.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+const std::string first_data_centre = "lag-a";
 const std::string failpoints_variable = "EELGRASSGW_FAILPOINTS=";
 
 int spawn(const std::vector<std::string>& command, const std::vector<std::string>& environment,
@@ -120,6 +121,7 @@
         info.name = string_member(entry, "name");
         info.pid = entry["pid"].asInt();
         info.address = parse_endpoint(string_member(entry, "address")).value();
+        info.data_centre = string_member(entry, "data_centre");
         info.log = string_member(entry, "log");
         for (const Json::Value& word : entry["command"]) {
             info.command.push_back(word.asString());
@@ -209,17 +211,61 @@
 
 void fleet::set_proxy(const std::string& name, const std::string& mode,
                       std::chrono::milliseconds delay) const {
+    Json::Value orders;
+    orders["mode"] = mode;
+    orders["delay_ms"] = Json::Int64(delay.count());
+    control_proxy(name, orders);
+}
+
+void fleet::cut_proxy_from(const std::string& name, const std::vector<std::string>& senders) const {
+    Json::Value orders;
+    orders["mode"] = "pass";
+    for (const std::string& sender : senders) {
+        orders["cut_from"].append(sender);
+    }
+    control_proxy(name, orders);
+}
+
+void fleet::control_proxy(const std::string& name, const Json::Value& orders) const {
     const endpoint control = parse_endpoint(string_member(description_["proxies"][name], "control")).value();
     http_request request;
     request.method = "POST";
     request.path = "/mode";
-    Json::Value body;
-    body["mode"] = mode;
-    body["delay_ms"] = Json::Int64(delay.count());
-    request.body = to_text(body);
+    request.body = to_text(orders);
     (void)call_http(control, request, http_timeouts{});
 }
 
+std::vector<process_info> fleet::daemons() const {
+    std::vector<process_info> found = processes("router");
+    const std::vector<process_info> agents = processes("agent");
+    found.insert(found.end(), agents.begin(), agents.end());
+    return found;
+}
+
+void fleet::part_data_centres(const std::string& api_with) const {
+    const auto is_first = [](const std::string& data_centre) {
+        return data_centre == first_data_centre;
+    };
+    for (const process_info& one : daemons()) {
+        std::vector<std::string> others;
+        for (const process_info& other : daemons()) {
+            if (is_first(one.data_centre) != is_first(other.data_centre)) {
+                others.push_back(other.name);
+            }
+        }
+        cut_proxy_from(one.name, others);
+        const bool keeps_api = !api_with.empty() && is_first(one.data_centre) == is_first(api_with);
+        set_proxy("api-" + one.name, keeps_api ? "pass" : "cut");
+    }
+}
+
+void fleet::join_data_centres() const {
+    for (const process_info& one : daemons()) {
+        set_proxy(one.name, "pass");
+        set_proxy("api-" + one.name, "pass");
+    }
+}
+
 endpoint fleet::proxy_address(const std::string& name) const {
     return parse_endpoint(string_member(description_["proxies"][name], "listen")).value();
 }
--- a/test/system/fleet.h
+++ b/test/system/fleet.h
@@ -17,6 +17,7 @@
     std::string name;
     int pid = 0;
     endpoint address;
+    std::string data_centre;
     std::string log;
     std::vector<std::string> command;
 };
@@ -70,6 +71,14 @@
     void set_proxy(const std::string& name, const std::string& mode,
                    std::chrono::milliseconds delay = std::chrono::milliseconds(0)) const;
 
+    /// Breaks the connections that the processes named in `senders` open through the proxy.
+    void cut_proxy_from(const std::string& name, const std::vector<std::string>& senders) const;
+
+    /// Parts the data centre "lag-a" from all others. `api_with` is the data centre that keeps the object
+    /// API: only its side reaches it; nobody does where it is empty.
+    void part_data_centres(const std::string& api_with) const;
+    void join_data_centres() const;
+
     /// Address of the fault proxy `name`.
     endpoint proxy_address(const std::string& name) const;
 
@@ -85,6 +94,9 @@
     double metric(const std::string& process_name, const std::string& metric_name) const;
 
 private:
+    void control_proxy(const std::string& name, const Json::Value& orders) const;
+    std::vector<process_info> daemons() const;
+
     char state_of(const std::string& name) const;
 
     std::string directory_;
--- a/test/system/partition_test.cpp
+++ b/test/system/partition_test.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::seconds answer_limit{30};
 constexpr std::chrono::seconds rest_limit{40};
+constexpr std::chrono::seconds in_force_limit{7};
 constexpr std::chrono::milliseconds short_fault{700};
 constexpr std::chrono::milliseconds longer_than_trusted{3500};
 
@@ -168,5 +169,60 @@
     expect_promises_hold();
 }
 
+/// Two data centres that cannot reach each other; the parameter is the one that keeps the object API.
+class data_centre_partition_test : public partition_test, public testing::WithParamInterface<std::string> {
+protected:
+    /// Chats at every router, each until one was answered while the data centres were apart.
+    void expect_both_sides_serve() {
+        for (const char* router : {"router-1", "router-2"}) {
+            const bool served = wait_until(
+                [&] { return callers->chat(router, std::string("apart at ") + router, "", false).whole; },
+                answer_limit);
+            EXPECT_TRUE(served) << router;
+        }
+    }
+};
+
+TEST_P(data_centre_partition_test, both_sides_serve_and_promises_hold) {
+    start({"--smallest_grant=20000"});
+    EXPECT_TRUE(callers->chat("router-1", "a first grant", "", false).whole);
+    EXPECT_TRUE(callers->chat("router-2", "a first grant", "", false).whole);
+    traffic_during([&] {
+        target->part_data_centres(GetParam());
+        expect_both_sides_serve();
+        EXPECT_EQ(target
+                      ->control({"top-up", "--customer=ikoyi", "--budget=ikoyi-main", "--id=second",
+                                 "--amount=1000"})
+                      .exit_code,
+                  0);
+        std::this_thread::sleep_for(longer_than_trusted);
+        target->join_data_centres();
+    });
+    expect_promises_hold();
+}
+
+TEST_F(partition_test, configuration_accepted_while_data_centres_are_apart_is_in_force_everywhere_after_it) {
+    start();
+    target->part_data_centres("lag-b");
+    const std::string file = target->path("configuration.json");
+    EXPECT_EQ(target->control({"apply", "--file=" + file, "--base=1", "--by=ada", "--reason=test"}).exit_code,
+              0);
+    const auto revision_at = [&](const char* router) {
+        return target->metric(router, "configuration_revision");
+    };
+    EXPECT_TRUE(wait_until([&] { return revision_at("router-2") == 2; }, in_force_limit));
+    EXPECT_EQ(revision_at("router-1"), 1);
+    target->join_data_centres();
+    EXPECT_TRUE(wait_until([&] { return revision_at("router-1") == 2; }, in_force_limit));
+    EXPECT_TRUE(callers->chat_until_final("after it", "after", false, answer_limit).whole);
+    expect_promises_hold();
+}
+
+INSTANTIATE_TEST_SUITE_P(apart, data_centre_partition_test, testing::Values("lag-a", "lag-b", ""),
+                         [](const auto& info) {
+                             return info.param.empty() ? "object_api_with_nobody"
+                                                       : "object_api_with_" + info.param.substr(4);
+                         });
+
 } // namespace
 } // namespace eelgrassgw::test
--- a/test/system/refusal_test.cpp
+++ b/test/system/refusal_test.cpp
@@ -21,5 +21,18 @@
     }
 }
 
+TEST(refusal_test, booking_whose_ticket_was_lost_is_sent_again_to_the_only_service) {
+    fleet target(
+        {"--routers=1", "--engines=1", "--services=1", "--failpoint=router-1/send_ticket=lose_request:1"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    EXPECT_TRUE(callers.book("router-1", "lot").whole);
+    EXPECT_EQ(wait_for_rest(target, rest_limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+    EXPECT_EQ(target.down(), 0);
+}
+
 } // namespace
 } // namespace eelgrassgw::test
--- a/test/system/whole_path_test.cpp
+++ b/test/system/whole_path_test.cpp
@@ -121,7 +121,10 @@
 }
 
 TEST_F(whole_path_test, booking_repeated_at_once_takes_effect_once) {
-    run_at_once(8, [this](int i) { (void)callers.book(i % 2 == 0 ? "router-1" : "router-2", "one-lot"); });
+    run_at_once(8, [this](int i) {
+        const observation seen = callers.book(i % 2 == 0 ? "router-1" : "router-2", "one-lot");
+        EXPECT_TRUE(seen.whole) << seen.code;
+    });
     expect_promises_hold();
 }
 
