Vanished peers cost a second, not two minutes; recovery asks at once; stopped agents settle open tickets; agent.h split

Cause: the HTTP library has no limit for connecting, so a call to a VM that drops packets took 134 s (http_client_test); recovery asked agents one after the other, so a lost data centre would have held its routers' tokens for hours. Change: connecting has the limit of the call's timeouts; seal_all asks 32 agents at once; a closed agent's entry settles a ticket that it never acknowledged; an agent without its entry in force writes no memory. agent.h is split as router.h is. The routing bench is seeded. Conclusion: repair time no longer grows with the number of lost VMs.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -258,6 +258,7 @@
 
 template <class Policy>
 void add_run(Json::Value& rows, const std::string& name, double load, Policy policy) {
+    seed_random_numbers(FLAGS_seed);
     const routing_score s = routing_simulation<Policy>(load, FLAGS_seed, policy).run();
     Json::Value row;
     row["policy"] = name;
--- /dev/null
+++ b/include/eelgrassgw/agent/internal/agent_background.h
@@ -0,0 +1,208 @@
+#pragma once
+
+/// Member functions of `agent` that start, stop and run beside the tickets.
+
+namespace eelgrassgw {
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::start() {
+    http_server_options options;
+    options.address = settings_.common.listen.address;
+    options.port = settings_.common.listen.port;
+    options.max_threads = settings_.max_connections;
+    options.max_body_bytes = 8U << 20U;
+    server_ = std::make_unique<http_server>(
+        options, [this](const http_request& request, http_exchange& exchange) { handle(request, exchange); });
+    maintenance_ = std::thread([this] { maintain(); });
+}
+
+template <object_store Store, backend_adapter Backend>
+bool agent<Store, Backend>::stop() {
+    runs_.start_draining();
+    log("drain_started", {});
+    (void)registration_.set_state(member_state::draining);
+    const auto limit = std::chrono::steady_clock::now() + settings_.drain_limit;
+    while ((!runs_.active().empty() || !runs_.all_journalled()) && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(poll_interval);
+    }
+    const bool settled = runs_.active().empty() && runs_.all_journalled();
+    const bool holds_entry = registered_ && !fenced_;
+    const bool clean = settled && (!holds_entry || leave_memory(limit));
+    stopping_ = true;
+    maintenance_.join();
+    Json::Value fields;
+    fields["clean"] = clean;
+    log("drain_ended", fields);
+    return clean;
+}
+
+/// Writes down which requests ran here, then closes the entry. Tries until `limit`.
+template <object_store Store, backend_adapter Backend>
+bool agent<Store, Backend>::leave_memory(steady_time limit) {
+    for (;;) {
+        const result<done> written = memory_.write(settings_.common.name, runs_.keyed_requests());
+        failpoint("agent_memory_written");
+        if (written && registration_.set_state(member_state::closed)) {
+            return true;
+        }
+        if (std::chrono::steady_clock::now() >= limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+template <object_store Store, backend_adapter Backend>
+agent_member agent<Store, Backend>::make_member() const {
+    agent_member self;
+    self.backend_server = settings_.common.name;
+    self.incarnation = incarnation_;
+    self.address = settings_.common.advertise;
+    self.data_centre = settings_.common.data_centre;
+    return self;
+}
+
+/// Registers, then watches over abandoned runs, retentions and the registration.
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::maintain() {
+    steady_time next_check = std::chrono::steady_clock::now();
+    while (!stopping_) {
+        if (!registered_ && std::chrono::steady_clock::now() >= next_check) {
+            try_to_register();
+            next_check = std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+        } else if (std::chrono::steady_clock::now() >= next_check) {
+            check_registration();
+            check_vm_list();
+            watch_load();
+            if (!remembers_all_) {
+                rebuild_memory();
+            }
+            next_check = std::chrono::steady_clock::now() + settings_.heartbeat_interval;
+        }
+        for (const auto& entry : runs_.active()) {
+            if (entry->is_abandoned(settings_.resume_window)) {
+                stop_run(*entry, "nobody has read it for the resume window");
+            }
+        }
+        runs_.expire(std::chrono::steady_clock::now());
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::try_to_register() {
+    failpoint("agent_before_register");
+    const result<done> registered = registration_.register_now();
+    if (!registered) {
+        Json::Value fields;
+        fields["reason"] = registered.error().text();
+        log("registration_failed", fields);
+        return;
+    }
+    const result<done> taken_over = backend_.take_over(registration_.fencing_number());
+    if (!taken_over) {
+        Json::Value fields;
+        fields["reason"] = taken_over.error().text();
+        log("take_over_failed", fields);
+        return;
+    }
+    look_up_routers();
+    registered_ = true;
+    rebuild_memory();
+    Json::Value fields;
+    fields["fencing"] = Json::UInt64(registration_.fencing_number());
+    log("registered", fields);
+}
+
+/// Looks all routers up at once, after the registration, so that an outage of the object API finds them
+/// known. One that is missed here is looked up with its first ticket.
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::look_up_routers() {
+    const result<std::vector<router_member>> routers = registration_.routers();
+    if (!routers) {
+        return;
+    }
+    const std::lock_guard lock(mutex_);
+    for (const router_member& router : routers.value()) {
+        if (is_open(router.state)) {
+            admitted_routers_.insert(router.incarnation);
+        } else {
+            runs_.seal(router.incarnation);
+        }
+    }
+}
+
+/// Learns which requests ran at this backend server, so that a repeated key is known although the
+/// predecessor's memory is gone. Until all have answered, tickets with a key are refused.
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::rebuild_memory() {
+    const result<std::vector<std::string>> ids = memory_.collect(
+        settings_.common.name, [this](const router_member& router) { return ask_router(router); });
+    if (ids) {
+        runs_.mark_ran_before(ids.value());
+    }
+    remembers_all_ = ids.ok();
+    Json::Value fields;
+    fields["complete"] = ids.ok();
+    fields["reason"] = ids ? "" : ids.error().text();
+    log("memory_rebuilt", fields);
+}
+
+/// The question carries this agent's entry: a router that answers it knows this agent from then on, so
+/// that no repeated key passes it by.
+template <object_store Store, backend_adapter Backend>
+result<std::vector<std::string>> agent<Store, Backend>::ask_router(const router_member& router) {
+    const agent_member self = registration_.self();
+    Json::Value params;
+    params["backend_server"] = self.backend_server;
+    params["entry"] = self.to_text();
+    params["version"] = Json::UInt64(self.version);
+    return ask_recent_requests(router, settings_.common.fleet_key, params);
+}
+
+/// The backend server's own report, which lags: for people and alarms. Routing goes by the agent's
+/// counts, since no work reaches the backend server but through it.
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::watch_load() {
+    const result<backend_load> load = backend_.load();
+    if (load) {
+        metrics_.set("backend_running", load.value().running);
+        metrics_.set("backend_queued", load.value().queued);
+    }
+    metrics_.set("backend_reachable", load ? 1 : 0);
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::check_vm_list() {
+    if (!settings_.vm.empty() && !runs_.is_draining() && registration_.is_leaving(settings_.vm)) {
+        leave("the platform's list says that the VM is leaving");
+    }
+}
+
+/// Takes no new work from now on; what runs goes on.
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::leave(const std::string& reason) {
+    runs_.start_draining();
+    (void)registration_.set_state(member_state::draining);
+    Json::Value fields;
+    fields["reason"] = reason;
+    log("leaving", fields);
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::check_registration() {
+    const result<done> own = registration_.check();
+    if (own.failed_with(errc::fenced) && !fenced_.exchange(true)) {
+        Json::Value fields;
+        fields["reason"] = own.error().text();
+        log("registration_lost", fields);
+    }
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::log(const char* event, Json::Value fields) const {
+    fields["agent"] = incarnation_;
+    log_event(log_level::info, event, std::move(fields));
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/include/eelgrassgw/agent/internal/agent_tickets.h
@@ -0,0 +1,267 @@
+#pragma once
+
+/// Member functions of `agent` that take, run and stream tickets.
+
+namespace eelgrassgw {
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::handle(const http_request& request, http_exchange& exchange) {
+    if (request.path == "/metrics") {
+        answer_metrics(exchange);
+    } else if (request.path == "/health") {
+        exchange.send({registered_ ? 200 : 503, {}, registered_ ? "ok\n" : "not registered\n"});
+    } else if (!has_valid_signature(request, settings_.common.fleet_key)) {
+        refuse(exchange, 401, "unauthenticated", "the request does not carry the proof of the fleet key", {});
+    } else if (request.path == rpc_path) {
+        exchange.send({200, {{"content-type", "application/json"}}, rpc_.answer(request.body)});
+    } else if (request.path == "/tickets") {
+        handle_ticket(request, exchange);
+    } else if (request.path == "/runs") {
+        handle_attach(request, exchange);
+    } else {
+        exchange.send({404, {}, ""});
+    }
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::answer_metrics(http_exchange& exchange) {
+    metrics_.set("runs_running", slots_.running());
+    metrics_.set("runs_queued", slots_.queued());
+    metrics_.set("run_records", static_cast<double>(runs_.size()));
+    exchange.send({200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text()});
+}
+
+/// Refuses a ticket. The status 409 says: it did not run, and this message will never make it run.
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::refuse(http_exchange& exchange, int status, const std::string& code,
+                                   const std::string& message, std::chrono::milliseconds retry_after) {
+    metrics_.count("ticket_refusals", {{"code", code}});
+    Json::Value body;
+    body["code"] = code;
+    body["message"] = message;
+    body["agent"] = incarnation_;
+    body["retry_after_ms"] = Json::Int64(retry_after.count());
+    exchange.send(json_response(status, body));
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::handle_ticket(const http_request& request, http_exchange& exchange) {
+    const result<Json::Value> body = parse_json(request.body);
+    if (!body) {
+        refuse(exchange, 409, "malformed", body.error().message, {});
+        return;
+    }
+    const ticket t = ticket::from_json(body.value());
+    if (!check_ticket(t, exchange)) {
+        return;
+    }
+    const result<accepted_ticket> accepted = take_ticket(t);
+    if (!accepted) {
+        const bool full = accepted.failed_with(errc::overloaded);
+        const auto wait =
+            full ? slots_.promise_place(std::chrono::steady_clock::now()) : std::chrono::milliseconds(0);
+        refuse(exchange, 409, code_of(accepted.error()), accepted.error().message, wait);
+        log_ticket(t, "refused", accepted.error().message);
+        return;
+    }
+    log_ticket(t, accepted.value().is_new ? "accepted" : "attached", "");
+    failpoint("agent_ticket_accepted");
+    stream_run(*accepted.value().the_run, 0, exchange);
+}
+
+/// Checks what the ticket says about both sides. Answers and returns false where it does not hold.
+template <object_store Store, backend_adapter Backend>
+bool agent<Store, Backend>::check_ticket(const ticket& t, http_exchange& exchange) {
+    if (t.agent != incarnation_) {
+        refuse(exchange, 409, "agent_restarted",
+               "the ticket is for \"" + t.agent + "\", this is \"" + incarnation_ + "\"", {});
+        return false;
+    }
+    if (!registered_ || fenced_) {
+        refuse(exchange, 409, "not_registered", "this agent has no registration in force", poll_interval);
+        return false;
+    }
+    const configuration_revision known = adopt_configuration(t);
+    if (t.revision < known) {
+        refuse(exchange, 409, "stale_configuration",
+               "the ticket has revision " + std::to_string(t.revision) + ", revision " +
+                   std::to_string(known) + " is in force",
+               {});
+        return false;
+    }
+    if (t.has_caller_key && !remembers_all_ && runs_.status(t.request_id).the_run == nullptr) {
+        refuse(exchange, 409, "rebuilding",
+               "this agent does not yet know which requests ran here before it restarted", poll_interval);
+        return false;
+    }
+    return check_router(t, exchange);
+}
+
+/// Takes over a newer revision and the limit that goes with it. Returns the revision in force.
+template <object_store Store, backend_adapter Backend>
+configuration_revision agent<Store, Backend>::adopt_configuration(const ticket& t) {
+    const std::lock_guard lock(mutex_);
+    if (t.revision > revision_) {
+        revision_ = t.revision;
+        if (t.max_running > 0) {
+            slots_.limit_running(t.max_running);
+        }
+    }
+    return revision_;
+}
+
+template <object_store Store, backend_adapter Backend>
+bool agent<Store, Backend>::check_router(const ticket& t, http_exchange& exchange) {
+    const std::string& router = t.router;
+    {
+        const std::lock_guard lock(mutex_);
+        if (admitted_routers_.contains(router) || registration_.will_be_asked_about(t.router_registered_at)) {
+            return true;
+        }
+    }
+    const result<bool> live = registration_.is_live(router);
+    if (!live) {
+        refuse(exchange, 409, "router_unverified",
+               "router \"" + router + "\" cannot be looked up: " + live.error().text(), poll_interval);
+        return false;
+    }
+    if (!live.value()) {
+        runs_.seal(router);
+        return true; // Refused by the run table, which knows the seal.
+    }
+    const std::lock_guard lock(mutex_);
+    admitted_routers_.insert(router);
+    return true;
+}
+
+template <object_store Store, backend_adapter Backend>
+std::string agent<Store, Backend>::code_of(const failure& f) {
+    return f.code == errc::refused ? "barred" : f.code.message();
+}
+
+template <object_store Store, backend_adapter Backend>
+result<accepted_ticket> agent<Store, Backend>::take_ticket(const ticket& t) {
+    if (!slots_.enter_queue()) {
+        const run_status known = runs_.status(t.request_id);
+        if (known.the_run != nullptr) {
+            return runs_.accept(t);
+        }
+        runs_.bar_nonce(t.nonce);
+        return make_failure(errc::overloaded, "accept ticket", "", "the queue of this agent is full");
+    }
+    result<accepted_ticket> accepted = runs_.accept(t);
+    if (!accepted || !accepted.value().is_new) {
+        slots_.leave_queue();
+        return accepted;
+    }
+    std::thread([this, the_run = accepted.value().the_run] { execute(*the_run); }).detach();
+    return accepted;
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::execute(run& r) {
+    if (!slots_.wait_for_slot(r)) {
+        run_outcome outcome;
+        outcome.state = run_state::not_run;
+        outcome.message = "no slot became free within the deadline";
+        end_run(r, outcome);
+        return;
+    }
+    const steady_time begin = std::chrono::steady_clock::now();
+    r.mark_running();
+    failpoint("agent_run_started");
+    run_outcome outcome = backend_.execute(r, registration_.fencing_number());
+    if (failpoint("agent_run_finished") == failpoint_action::error) {
+        outcome.used = 0;
+    }
+    end_run(r, outcome);
+    slots_.release(
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begin));
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::end_run(run& r, const run_outcome& outcome) {
+    if (outcome.used + outcome.withheld == 0) {
+        r.mark_journalled(); // There is nothing to bill.
+    }
+    r.finish(outcome);
+    metrics_.count("runs", {{"state", to_text(outcome.state)}});
+    Json::Value fields = outcome.to_json();
+    fields["request_id"] = r.work().request_id;
+    log("run_ended", fields);
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::handle_attach(const http_request& request, http_exchange& exchange) {
+    const run_status status = runs_.status(request.parameter("id"));
+    if (status.the_run == nullptr) {
+        exchange.send({404, {}, ""});
+        return;
+    }
+    const std::size_t offset = std::strtoull(request.parameter("offset").c_str(), nullptr, 10);
+    stream_run(*status.the_run, offset, exchange);
+}
+
+/// Sends lines: "chunk" with output, "wait" while there is none, and last "end" with the outcome.
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::stream_run(run& r, std::size_t offset, http_exchange& exchange) {
+    r.add_reader();
+    bool reading = exchange.begin_stream(200, {{"content-type", "application/x-ndjson"}}) &&
+                   exchange.write(accepted_line(r));
+    while (reading) {
+        const run_progress progress = r.wait(offset, reader_wait);
+        Json::Value line;
+        line["type"] = progress.at_end ? "end" : "wait";
+        if (!progress.text.empty()) {
+            Json::Value chunk;
+            chunk["type"] = "chunk";
+            chunk["offset"] = Json::UInt64(offset);
+            chunk["text"] = progress.text;
+            failpoint("agent_chunk");
+            reading = exchange.write(to_text(chunk) + "\n");
+            offset += progress.text.size();
+        }
+        if (progress.at_end) {
+            line["length"] = Json::UInt64(r.output_size());
+            line["output_kept"] = !r.output_dropped();
+            line["outcome"] = progress.outcome.to_json();
+            reading = reading && exchange.write(to_text(line) + "\n");
+            failpoint("agent_end_sent");
+            break;
+        }
+        if (reading && progress.text.empty()) {
+            reading = exchange.write(to_text(line) + "\n");
+        }
+    }
+    r.remove_reader();
+    if (reading) {
+        exchange.end_stream();
+    }
+}
+
+template <object_store Store, backend_adapter Backend>
+std::string agent<Store, Backend>::accepted_line(const run& r) const {
+    Json::Value line;
+    line["type"] = "accepted";
+    line["agent"] = incarnation_;
+    line["nonce"] = r.work().nonce;
+    line["router"] = r.work().router;
+    line["running"] = slots_.running();
+    line["queued"] = slots_.queued();
+    return to_text(line) + "\n";
+}
+
+template <object_store Store, backend_adapter Backend>
+void agent<Store, Backend>::log_ticket(const ticket& t, const char* decision,
+                                       const std::string& reason) const {
+    Json::Value fields;
+    fields["request_id"] = t.request_id;
+    fields["router"] = t.router;
+    fields["attempt"] = t.attempt;
+    fields["reserved"] = Json::Int64(t.reserved);
+    fields["decision"] = decision;
+    fields["reason"] = reason;
+    log("ticket", fields);
+}
+
+} // namespace eelgrassgw
--- a/include/eelgrassgw/base/hash.h
+++ b/include/eelgrassgw/base/hash.h
@@ -10,6 +10,9 @@
 /// A random identifier of 16 lower-case hexadecimal digits. Thread-safe.
 std::string random_id();
 
+/// Makes this thread's `random_below` repeatable, for benches. `random_id` stays random.
+void seed_random_numbers(std::uint64_t seed);
+
 /// A random number in [0, bound). Precondition: bound > 0. Thread-safe.
 std::uint64_t random_below(std::uint64_t bound);
 
--- a/include/eelgrassgw/membership/fleet_view.h
+++ b/include/eelgrassgw/membership/fleet_view.h
@@ -33,8 +33,8 @@
     std::optional<agent_member> find_agent(const std::string& backend_server) const;
     std::optional<agent_member> find_agent_incarnation(const std::string& incarnation) const;
 
-    /// Whether the agent incarnation was replaced, so that its records cannot be asked for any more.
-    bool is_lost(const std::string& agent_incarnation) const;
+    /// Whether the agent incarnation stopped as planned.
+    bool has_closed(const std::string& agent_incarnation) const;
 
     std::vector<router_member> routers() const;
     std::optional<router_member> find_router(const std::string& incarnation) const;
--- a/include/eelgrassgw/recovery/recoverer.h
+++ b/include/eelgrassgw/recovery/recoverer.h
@@ -8,9 +8,11 @@
 #include "eelgrassgw/journal/journal_store.h"
 #include "eelgrassgw/membership/router_registration.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <set>
+#include <thread>
 
 namespace eelgrassgw {
 
@@ -93,6 +95,8 @@
     }
 
 private:
+    static constexpr std::size_t most_asked_at_once = 32;
+
     result<std::set<std::string>> closed_routers() {
         const result<object_changes> listed = store_.list(routers_prefix);
         if (!listed) {
@@ -190,22 +194,47 @@
             collected.waiting_for = "the object API: " + listed.error().text();
             return collected;
         }
+        std::vector<agent_member> open;
         for (const stored_object& object : listed.value().changed) {
             const result<agent_member> agent = agent_member::from_object(object);
-            if (agent) {
-                collect_from(agent.value(), router, journal, collected);
+            if (!agent) {
+                continue;
+            }
+            check_lost(agent.value(), router, journal, collected);
+            if (agent.value().state != member_state::closed) {
+                open.push_back(agent.value());
             }
         }
+        const std::vector<result<seal_answer>> answers = seal_all(open, router);
+        for (std::size_t i = 0; i < open.size(); ++i) {
+            take_in(open[i], answers[i], collected);
+        }
         return collected;
     }
 
-    void collect_from(const agent_member& agent, const std::string& router, const journal_contents& journal,
-                      collected_records& collected) {
-        check_lost(agent, router, journal, collected);
-        if (agent.state == member_state::closed) {
-            return;
+    /// Asks many agents at once, so that those which do not answer cost the time of one.
+    std::vector<result<seal_answer>> seal_all(const std::vector<agent_member>& open,
+                                              const std::string& router) const {
+        const failure not_asked = make_failure(errc::unreachable, "seal", "", "not asked");
+        std::vector<result<seal_answer>> answers(open.size(), result<seal_answer>(not_asked));
+        std::atomic<std::size_t> next{0};
+        const auto ask = [&] {
+            for (std::size_t i = next++; i < open.size(); i = next++) {
+                answers[i] = agents_.seal(open[i], router);
+            }
+        };
+        std::vector<std::thread> threads;
+        for (std::size_t i = 0; i < std::min(open.size(), most_asked_at_once); ++i) {
+            threads.emplace_back(ask);
+        }
+        for (std::thread& thread : threads) {
+            thread.join();
         }
-        const result<seal_answer> answer = agents_.seal(agent, router);
+        return answers;
+    }
+
+    static void take_in(const agent_member& agent, const result<seal_answer>& answer,
+                        collected_records& collected) {
         if (!answer || answer.value().agent != agent.incarnation) {
             collected.waiting_for =
                 "agent \"" + agent.incarnation + "\" at " + agent.address.text() + ", which does not answer";
--- a/include/eelgrassgw/router/agent_call.h
+++ b/include/eelgrassgw/router/agent_call.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <functional>
 #include <thread>
 #include <vector>
 
@@ -64,8 +65,11 @@
 /// Speaks to agents. Thread-safe, since it keeps no state.
 class agent_caller {
 public:
-    agent_caller(std::string fleet_key, std::chrono::milliseconds resolve_limit)
-        : fleet_key_(std::move(fleet_key)), resolve_limit_(resolve_limit) {}
+    /// `has_closed` tells whether an agent incarnation stopped as planned.
+    agent_caller(std::string fleet_key, std::chrono::milliseconds resolve_limit,
+                 std::function<bool(const std::string& incarnation)> has_closed)
+        : fleet_key_(std::move(fleet_key)), resolve_limit_(resolve_limit),
+          has_closed_(std::move(has_closed)) {}
 
     /// Sends `t` and passes its output on. Output before `offset` is left out.
     template <output_sink Sink>
@@ -126,6 +130,7 @@
                                                   std::size_t offset) const;
     static call_result refusal(http_stream& stream);
     static call_result make_result(call_end end, const std::string& message, const stream_position& position);
+    static call_result closed_result(const agent_member& agent, const stream_position& position);
     static call_result ended_result(const ticket& t, const stream_position& position);
 
     /// Whether the agent now says that the run is not there and never will be, or that it restarted.
@@ -177,6 +182,11 @@
                     return resolved;
                 }
             }
+            // An agent closes only when journals have all that ran there, so a ticket that it did not
+            // acknowledge to its own router did not run.
+            if (!stream && !position.accepted && has_closed_(agent.incarnation)) {
+                return closed_result(agent, position);
+            }
             if (std::chrono::steady_clock::now() - position.last_heard > resolve_limit_) {
                 return make_result(call_end::unknown, "agent \"" + agent.incarnation + "\" does not answer",
                                    position);
@@ -187,6 +197,7 @@
 
     std::string fleet_key_;
     std::chrono::milliseconds resolve_limit_;
+    std::function<bool(const std::string& incarnation)> has_closed_;
 };
 
 } // namespace eelgrassgw
--- a/include/eelgrassgw/router/internal/router_background.h
+++ b/include/eelgrassgw/router/internal/router_background.h
@@ -6,7 +6,9 @@
 
 template <object_store Store>
 router<Store>::router(Store& store, const router_settings& settings)
-    : store_(store), settings_(settings), caller_(settings.common.fleet_key, settings.resolve_limit),
+    : store_(store), settings_(settings),
+      caller_(settings.common.fleet_key, settings.resolve_limit,
+              [this](const std::string& agent) { return view_.has_closed(agent); }),
       departed_(store), late_(caller_, view_, selector_, requests_),
       attempts_(configurations_, view_, selector_, requests_, caller_, late_, metrics_, make_router_port()),
       dispatcher_(attempts_, settings.max_attempts), claimed_(store, attempts_, settings.max_attempts) {
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -24,6 +24,11 @@
     return text;
 }
 
+std::mt19937_64& generator() {
+    thread_local std::mt19937_64 of_this_thread{std::random_device{}()};
+    return of_this_thread;
+}
+
 } // namespace
 
 std::string random_id() {
@@ -32,9 +37,12 @@
     return to_hex(buf.data(), buf.size());
 }
 
+void seed_random_numbers(std::uint64_t seed) {
+    generator().seed(seed);
+}
+
 std::uint64_t random_below(std::uint64_t bound) {
-    thread_local std::mt19937_64 generator{std::random_device{}()};
-    return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(generator);
+    return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(generator());
 }
 
 std::uint64_t stable_hash(const std::string& text) {
--- a/src/membership/fleet_view.cpp
+++ b/src/membership/fleet_view.cpp
@@ -89,13 +89,9 @@
     return std::nullopt;
 }
 
-bool fleet_view::is_lost(const std::string& agent_incarnation) const {
-    const std::lock_guard lock(mutex_);
-    return std::any_of(agents_.begin(), agents_.end(), [&](const auto& entry) {
-        const auto& lost = entry.second.lost;
-        return std::any_of(lost.begin(), lost.end(),
-                           [&](const lost_incarnation& old) { return old.incarnation == agent_incarnation; });
-    });
+bool fleet_view::has_closed(const std::string& agent_incarnation) const {
+    const std::optional<agent_member> agent = find_agent_incarnation(agent_incarnation);
+    return agent && agent->state == member_state::closed;
 }
 
 std::vector<router_member> fleet_view::routers() const {
--- a/src/router/agent_call.cpp
+++ b/src/router/agent_call.cpp
@@ -96,6 +96,13 @@
     return made;
 }
 
+call_result agent_caller::closed_result(const agent_member& agent, const stream_position& position) {
+    call_result closed = make_result(
+        call_end::refused, "agent \"" + agent.incarnation + "\" closed without having run it", position);
+    closed.code = "draining";
+    return closed;
+}
+
 call_result agent_caller::ended_result(const ticket& t, const stream_position& position) {
     call_result ended = make_result(call_end::ended, position.outcome.message, position);
     ended.outcome = position.outcome;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -6,6 +6,7 @@
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
 #include <cxxtools/net/addrinfo.h>
+#include <cxxtools/net/tcpsocket.h>
 
 #include <cstdlib>
 #include <istream>
@@ -94,13 +95,15 @@
                         why);
 }
 
-/// Shows that `peer` can be reached, and leaves `client` without a connection: on one that exists already the
-/// library would send the request again where the peer closes it before any reply.
-result<done> check_reachable(cxxtools::http::Client& client, const endpoint& peer,
-                             const http_request& request) {
+/// Shows that `peer` can be reached within `limit`, on a connection of its own. The library's client has no
+/// limit for connecting, and on a connection that exists already it would send the request again where the
+/// peer closes it before any reply.
+result<done> check_reachable(const endpoint& peer, const http_request& request,
+                             std::chrono::milliseconds limit) {
     try {
-        client.connect();
-        client.close();
+        cxxtools::net::TcpSocket probe;
+        probe.setTimeout(to_library_time(limit));
+        probe.connect(peer.address, peer.port);
         return done{};
     } catch (const std::exception& e) {
         return no_connection(peer, request, e.what());
@@ -189,7 +192,7 @@
 result<std::unique_ptr<http_stream>> open_stream_once(const endpoint& peer, const http_request& request,
                                                       const http_timeouts& timeouts) {
     auto stream = std::make_unique<client_stream>(peer);
-    const result<done> connected = check_reachable(stream->client(), peer, request);
+    const result<done> connected = check_reachable(peer, request, timeouts.connect);
     if (!connected) {
         return connected.error();
     }
@@ -205,7 +208,7 @@
 result<http_response> call_once(const endpoint& peer, const http_request& request,
                                 const http_timeouts& timeouts) {
     cxxtools::http::Client client(peer.address, peer.port);
-    const result<done> connected = check_reachable(client, peer, request);
+    const result<done> connected = check_reachable(peer, request, timeouts.connect);
     if (!connected) {
         return connected.error();
     }
@@ -247,12 +250,11 @@
     result<http_response> call(const http_request& request, const http_timeouts& timeouts) {
         std::unique_ptr<cxxtools::http::Client> client = take();
         if (client == nullptr) {
-            client = std::make_unique<cxxtools::http::Client>(peer_.address, peer_.port);
-            try {
-                client->connect();
-            } catch (const std::exception& e) {
-                return no_connection(peer_, request, e.what());
+            const result<done> connected = check_reachable(peer_, request, timeouts.connect);
+            if (!connected) {
+                return connected.error();
             }
+            client = std::make_unique<cxxtools::http::Client>(peer_.address, peer_.port);
         }
         try {
             client->execute(to_library_request(request), to_library_time(timeouts.silence),
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -9,11 +9,60 @@
 
 #include <array>
 #include <atomic>
+#include <future>
 #include <thread>
 
 namespace eelgrassgw {
 namespace {
 
+/// A peer that answers no connection any more, as a VM that is gone: its queue is full, so that the kernel
+/// drops what comes.
+class vanished_peer {
+public:
+    vanished_peer() {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(::bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+        EXPECT_EQ(::listen(listener_, 0), 0);
+        socklen_t n = sizeof address;
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &n);
+        at_ = {"127.0.0.1", ntohs(address.sin_port)};
+        for (int& fd : waiting_) {
+            fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            (void)::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        }
+    }
+
+    ~vanished_peer() {
+        for (const int fd : waiting_) {
+            ::close(fd);
+        }
+        ::close(listener_);
+    }
+
+    vanished_peer(const vanished_peer&) = delete;
+    vanished_peer& operator=(const vanished_peer&) = delete;
+
+    const endpoint& at() const { return at_; }
+
+private:
+    int listener_ = -1;
+    std::array<int, 8> waiting_{};
+    endpoint at_;
+};
+
+/// Waits for `call`, but not as long as the kernel would try.
+template <class Call>
+errc outcome_within_limit(Call call) {
+    constexpr std::chrono::seconds longest{20};
+    auto outcome = std::async(std::launch::async, call);
+    EXPECT_EQ(outcome.wait_for(longest), std::future_status::ready) << "the call goes on";
+    const auto reply = outcome.get();
+    return reply.failed_with(errc::unreachable) ? errc::unreachable : errc::outcome_unknown;
+}
+
 const http_timeouts short_timeouts{std::chrono::milliseconds(1000), std::chrono::milliseconds(1000)};
 
 /// A peer on loopback that answers each connection that brings a request with the same bytes, then closes.
@@ -111,5 +160,22 @@
     EXPECT_FALSE(stream.value()->read_line(line));
 }
 
+TEST(http_client_test, peer_that_drops_connections_is_unreachable_within_the_limit) {
+    const vanished_peer peer;
+    const auto call = [&] {
+        return call_http(peer.at(), http_request{}, short_timeouts);
+    };
+    EXPECT_EQ(outcome_within_limit(call), errc::unreachable);
+}
+
+TEST(http_client_test, pool_gives_a_peer_up_that_drops_connections) {
+    const vanished_peer peer;
+    http_connection_pool pool(peer.at());
+    const auto call = [&] {
+        return pool.call(http_request{}, short_timeouts);
+    };
+    EXPECT_EQ(outcome_within_limit(call), errc::unreachable);
+}
+
 } // namespace
 } // namespace eelgrassgw
--- a/test/recoverer_test.cpp
+++ b/test/recoverer_test.cpp
@@ -6,6 +6,9 @@
 
 #include <gtest/gtest.h>
 
+#include <condition_variable>
+#include <mutex>
+
 namespace eelgrassgw {
 namespace {
 
@@ -230,5 +233,28 @@
     EXPECT_TRUE(detector.suspects({"r1"}, begin + std::chrono::seconds(20)).empty());
 }
 
+TEST_F(recoverer_test, agents_are_asked_at_once) {
+    agent_member other;
+    other.backend_server = "engine-b";
+    other.incarnation = "engine-b-1";
+    other.address = {"127.0.0.1", 3};
+    ASSERT_TRUE(store.put(agent_key("engine-b"), other.to_text(), absent_version));
+    constexpr std::chrono::seconds longest{10};
+    std::mutex mutex;
+    std::condition_variable changed;
+    int asked = 0;
+    bool met = false;
+    agent_port together = port();
+    together.seal = [&](const agent_member& agent, const std::string&) -> result<seal_answer> {
+        std::unique_lock lock(mutex);
+        ++asked;
+        changed.notify_all();
+        met = changed.wait_for(lock, longest, [&] { return asked == 2; });
+        return seal_answer{agent.incarnation, 0, {}};
+    };
+    ASSERT_TRUE(recoverer<memory_object_store>(store, together, 1).recover("r1").value().finished);
+    EXPECT_TRUE(met);
+}
+
 } // namespace
 } // namespace eelgrassgw
--- a/test/system/refusal_test.cpp
+++ b/test/system/refusal_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <thread>
+
 namespace eelgrassgw::test {
 namespace {
 
@@ -21,6 +24,23 @@
     }
 }
 
+TEST(refusal_test, ticket_lost_on_its_way_to_an_agent_that_closed_is_told_as_not_run) {
+    const fleet target({"--routers=1", "--engines=1", "--services=1",
+                        "--failpoint=router-1/send_ticket=lose_request:1,attach_run=unreachable"});
+    ASSERT_TRUE(target.is_up());
+    caller callers(target);
+    observation seen;
+    std::thread sender([&] { seen = callers.chat("router-1", "LENGTH=20", "", false); });
+    EXPECT_TRUE(wait_until([&] { return target.metric("router-1", "requests_in_flight") > 0; }, rest_limit));
+    target.send_signal("engine-1", SIGTERM);
+    sender.join();
+    EXPECT_EQ(seen.ran, "no") << seen.code;
+    EXPECT_EQ(wait_for_rest(target, rest_limit), "");
+    for (const std::string& violation : checker(target, callers.seen()).violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
 TEST(refusal_test, booking_whose_ticket_was_lost_is_sent_again_to_the_only_service) {
     fleet target(
         {"--routers=1", "--engines=1", "--services=1", "--failpoint=router-1/send_ticket=lose_request:1"});
