After a last read: no I/O under a lock, no ordering of agents for refused requests, a short limit for load reports

Cause: the read of the whole change. departed_agents read the object API under its lock, so keyed requests would have waited one behind the other in an outage; agents were ordered before the reservation that may refuse the request; the agent's upkeep waited up to backend_timeout_ms for a load report, and with it the look at the list of leaving VMs. Ruled out: merging make_claim and make_record, which only look alike. Change: the three places; settle_open's two loops are one; run_table::is_sealed, which nobody called, is gone.

--- a/include/eelgrassgw/router/departed_agents.h
+++ b/include/eelgrassgw/router/departed_agents.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_set>
 
@@ -20,20 +21,33 @@
 
     /// Whether `request_id` may have run at `closed`, a closed agent. Errors: the object API cannot be asked.
     result<bool> may_have_run(const agent_member& closed, const std::string& request_id) {
-        const std::lock_guard lock(mutex_);
-        known_agent& known = known_[closed.backend_server];
-        if (known.incarnation != closed.incarnation) {
-            const result<std::vector<std::string>> ids = memory_.read(closed.backend_server);
-            if (!ids) {
-                return ids.error();
-            }
-            known.incarnation = closed.incarnation;
-            known.request_ids = {ids.value().begin(), ids.value().end()};
+        const std::optional<bool> known = look_up(closed, request_id);
+        if (known) {
+            return *known;
+        }
+        const result<std::vector<std::string>> ids =
+            memory_.read(closed.backend_server); // Unlocked: it may wait.
+        if (!ids) {
+            return ids.error();
         }
-        return known.request_ids.contains(request_id);
+        const std::lock_guard lock(mutex_);
+        known_agent& agent = known_[closed.backend_server];
+        agent.incarnation = closed.incarnation;
+        agent.request_ids = {ids.value().begin(), ids.value().end()};
+        return agent.request_ids.contains(request_id);
     }
 
 private:
+    /// What is known without asking; nothing where `closed` was not read yet.
+    std::optional<bool> look_up(const agent_member& closed, const std::string& request_id) {
+        const std::lock_guard lock(mutex_);
+        const auto it = known_.find(closed.backend_server);
+        if (it == known_.end() || it->second.incarnation != closed.incarnation) {
+            return std::nullopt;
+        }
+        return it->second.request_ids.contains(request_id);
+    }
+
     struct known_agent {
         std::string incarnation;
         std::unordered_set<std::string> request_ids;
--- a/include/eelgrassgw/router/dispatcher.h
+++ b/include/eelgrassgw/router/dispatcher.h
@@ -32,13 +32,13 @@
         if (order.has_caller_key) {
             attempts_.note(order, request_state::running, ""); // Before the agents are ordered.
         }
-        std::vector<agent_member> agents = attempts_.agents_to_ask(order);
         if (!attempts_.reserve(*session, order, outcome)) {
             if (order.has_caller_key) {
-                earlier_.answer(order, agents, 0, false, sink, outcome);
+                earlier_.answer(order, attempts_.agents_to_ask(order), 0, false, sink, outcome);
             }
             return;
         }
+        std::vector<agent_member> agents = attempts_.agents_to_ask(order);
         call_result last;
         last.message = "no agent serves \"" + order.served_name + "\"";
         int attempt = 0;
@@ -95,16 +95,21 @@
         return attempts_.reserve(session, order, unused);
     }
 
-    /// Leaves open tickets to the settler. Where no later attempt ended the request, the last of them still
-    /// may: then "not run" would not be true.
+    /// Leaves open tickets to the settler. Where no attempt ended the request, the last of them still may.
     void settle_open(const work_order& order, dispatch_result& outcome, open_tickets& open) {
-        if (outcome.ended) {
-            for (unsettled_ticket<Session>& entry : open) {
-                entry.superseded = true;
-                attempts_.leave_open(std::move(entry));
-            }
-            return;
+        for (std::size_t i = 0; i < open.size(); ++i) {
+            open[i].superseded = outcome.ended || i + 1 < open.size();
+        }
+        if (!outcome.ended) {
+            explain_end(order, outcome, open);
         }
+        for (unsettled_ticket<Session>& entry : open) {
+            attempts_.leave_open(std::move(entry));
+        }
+    }
+
+    /// Notes how a request stands that no attempt ended. While one is open, "not run" would not be true.
+    void explain_end(const work_order& order, dispatch_result& outcome, const open_tickets& open) {
         if (!open.empty() && outcome.error.did_run == ran::no) {
             outcome.error = unknown_error("an earlier attempt is open, and the next one ended thus: " +
                                               outcome.error.message,
@@ -113,10 +118,6 @@
         attempts_.note(order,
                        outcome.error.did_run == ran::no ? request_state::not_run : request_state::unknown,
                        outcome.error.message);
-        for (std::size_t i = 0; i < open.size(); ++i) {
-            open[i].superseded = i + 1 < open.size();
-            attempts_.leave_open(std::move(open[i]));
-        }
     }
 
     /// Looks at a refusal that forbids to go on. Fills in the error and returns true then.
--- a/include/eelgrassgw/run/run_table.h
+++ b/include/eelgrassgw/run/run_table.h
@@ -59,7 +59,6 @@
 
     /// From now on no ticket of `router` is taken.
     void seal(const std::string& router);
-    bool is_sealed(const std::string& router) const;
 
     /// Runs of `router` whose records are not yet in a journal, running ones included.
     std::vector<std::shared_ptr<run>> unjournalled(const std::string& router) const;
--- a/src/agent/engine_backend.cpp
+++ b/src/agent/engine_backend.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr int max_resumptions = 2;
+// A load report is of use only while it is new, and the agent's other upkeep waits for it.
+const http_timeouts load_timeouts{std::chrono::milliseconds(500), std::chrono::milliseconds(500)};
 const std::string event_prefix = "data: ";
 const std::string end_marker = "[DONE]";
 
@@ -188,7 +190,7 @@
 result<backend_load> engine_backend::load() {
     http_request request;
     request.path = "/v1/load";
-    const result<http_response> response = call_http(engine_, request, timeouts_);
+    const result<http_response> response = call_http(engine_, request, load_timeouts);
     if (!response) {
         return response.error();
     }
--- a/src/run/run_table.cpp
+++ b/src/run/run_table.cpp
@@ -108,11 +108,6 @@
     sealed_routers_.insert(router);
 }
 
-bool run_table::is_sealed(const std::string& router) const {
-    const std::lock_guard lock(mutex_);
-    return sealed_routers_.contains(router);
-}
-
 std::vector<std::shared_ptr<run>> run_table::unjournalled(const std::string& router) const {
     const std::lock_guard lock(mutex_);
     std::vector<std::shared_ptr<run>> found;
