--- a/include/eelgrassgw/settings/document_reader.h
+++ b/include/eelgrassgw/settings/document_reader.h
@@ -29,6 +29,9 @@
     std::int64_t integer(const char* name, std::int64_t least, std::int64_t most);
     std::int64_t integer_or(const char* name, std::int64_t least, std::int64_t most, std::int64_t fallback);
 
+    /// A number with or without a fraction.
+    double number_or(const char* name, double least, double most, double fallback);
+
     std::chrono::milliseconds milliseconds_or(const char* name, std::int64_t least, std::int64_t most,
                                               std::chrono::milliseconds fallback);
     bool boolean_or(const char* name, bool fallback);
@@ -47,6 +50,9 @@
     /// Adds an error of the caller's own.
     void report(const std::string& field, const std::string& value, const std::string& allowed);
 
+    /// All errors as one failure of reading `file`.
+    failure to_failure(const std::string& file) const;
+
     const std::vector<std::string>& errors() const { return errors_; }
     const std::string& place() const { return place_; }
 
@@ -59,4 +65,10 @@
     std::vector<std::string> errors_;
 };
 
+/// The whole text of `file`. Thread-safe.
+result<std::string> read_file(const std::string& file);
+
+/// The JSON document in `file`; the failure names the file and the place. Thread-safe.
+result<Json::Value> load_document(const std::string& file);
+
 } // namespace eelgrassgw
--- a/include/eelgrassgw/settings/process_settings.h
+++ b/include/eelgrassgw/settings/process_settings.h
@@ -71,7 +71,4 @@
 result<router_settings> load_router_settings(const std::string& file);
 result<agent_settings> load_agent_settings(const std::string& file);
 
-/// The whole text of `file`.
-result<std::string> read_file(const std::string& file);
-
 } // namespace eelgrassgw
--- /dev/null
+++ b/src/backends/backend_directory.cpp
@@ -0,0 +1,92 @@
+#include "backends/backend_directory.h"
+
+#include <set>
+
+namespace eelgrassgw {
+
+void backend_directory::replace_all(const std::vector<entry>& listed, bool after_outage,
+                                    clock::time_point now) {
+    std::set<std::string> present;
+    for (const entry& each : listed) {
+        present.insert(each.server.id);
+        put(each);
+    }
+    std::vector<std::string> absent;
+    for (const auto& [id, tracked] : by_id_) {
+        if (!present.contains(id)) {
+            absent.push_back(id);
+        }
+    }
+    for (const std::string& id : absent) {
+        remove(id, by_id_.at(id)->revision + 1, after_outage, now);
+    }
+}
+
+void backend_directory::put(const entry& listed) {
+    std::shared_ptr<tracked_backend>& tracked = by_id_[listed.server.id];
+    if (tracked == nullptr) {
+        tracked = std::make_shared<tracked_backend>();
+    }
+    if (listed.revision < tracked->revision) {
+        return;
+    }
+    if (tracked->server.started_ms != listed.server.started_ms) {
+        tracked->avoid_until = {};
+    }
+    tracked->server = listed.server;
+    tracked->revision = listed.revision;
+    tracked->missing_since = {};
+}
+
+void backend_directory::remove(const std::string& id, std::uint64_t revision, bool after_outage,
+                               clock::time_point now) {
+    const auto it = by_id_.find(id);
+    if (it == by_id_.end() || revision < it->second->revision) {
+        return;
+    }
+    if (!after_outage || it->second->server.draining) {
+        drop(id);
+        return;
+    }
+    if (!it->second->missing()) {
+        it->second->missing_since = now;
+    }
+}
+
+std::size_t backend_directory::drop_lapsed(clock::time_point now) {
+    std::vector<std::string> over;
+    for (const auto& [id, tracked] : by_id_) {
+        if (tracked->missing() && now - tracked->missing_since >= lapse_grace) {
+            over.push_back(id);
+        }
+    }
+    for (const std::string& id : over) {
+        drop(id);
+    }
+    return over.size();
+}
+
+std::vector<std::shared_ptr<tracked_backend>> backend_directory::ready_in(const std::string& service) const {
+    std::vector<std::shared_ptr<tracked_backend>> ready;
+    for (const auto& [id, tracked] : by_id_) {
+        if (tracked->server.service == service && !tracked->server.draining) {
+            ready.push_back(tracked);
+        }
+    }
+    return ready;
+}
+
+std::vector<std::shared_ptr<tracked_backend>> backend_directory::all() const {
+    std::vector<std::shared_ptr<tracked_backend>> everyone;
+    for (const auto& [id, tracked] : by_id_) {
+        everyone.push_back(tracked);
+    }
+    return everyone;
+}
+
+void backend_directory::drop(const std::string& id) {
+    by_id_.at(id)->removed = true;
+    by_id_.erase(id);
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/budgets/allowance_table.cpp
@@ -0,0 +1,107 @@
+#include "budgets/allowance_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace eelgrassgw {
+
+namespace {
+
+constexpr double demand_memory_ms = 2000; // Time constant of the average of demand.
+constexpr tokens idle_margin = 2000;      // Tokens that may lie idle rather than cost a write.
+
+double elapsed_ms(allowance_table::clock::time_point from, allowance_table::clock::time_point to) {
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+} // namespace
+
+bool allowance_table::reserve(const std::string& customer, tokens amount) {
+    account& of = accounts_[customer];
+    if (of.available < amount) {
+        return false;
+    }
+    of.available -= amount;
+    of.reserved += amount;
+    return true;
+}
+
+void allowance_table::settle(const std::string& customer, tokens reserved, tokens used) {
+    account& of = accounts_[customer];
+    of.reserved -= reserved;
+    of.available += reserved - used;
+}
+
+void allowance_table::note_demand(const std::string& customer, tokens amount, clock::time_point now) {
+    account& of = accounts_[customer];
+    const double kept = std::exp(-elapsed_ms(of.demand_at, now) / demand_memory_ms);
+    of.recent_demand = of.recent_demand * kept + static_cast<double>(amount);
+    of.demand_at = now;
+}
+
+void allowance_table::note_waiting(const std::string& customer, tokens amount) {
+    accounts_[customer].waiting += amount;
+}
+
+void allowance_table::add(const std::string& customer, tokens amount) {
+    accounts_[customer].available += amount;
+}
+
+tokens allowance_table::available(const std::string& customer) const {
+    const account* of = find(customer);
+    return of == nullptr ? 0 : of->available;
+}
+
+tokens allowance_table::reserved(const std::string& customer) const {
+    const account* of = find(customer);
+    return of == nullptr ? 0 : of->reserved;
+}
+
+tokens allowance_table::waiting(const std::string& customer) const {
+    const account* of = find(customer);
+    return of == nullptr ? 0 : of->waiting;
+}
+
+bool allowance_table::runs_low(const std::string& customer, clock::time_point now) const {
+    const account* of = find(customer);
+    const double full = of == nullptr ? 0 : demand_per_ms(*of, now) * double(policy_.horizon.count());
+    return of != nullptr && static_cast<double>(of->available) < full / 2;
+}
+
+tokens allowance_table::wanted_change(const std::string& customer, tokens unspent, int routers,
+                                      clock::time_point now) const {
+    const account* of = find(customer);
+    if (of == nullptr) {
+        return 0;
+    }
+    const double per_ms = demand_per_ms(*of, now);
+    const double share = policy_.largest_share * double(std::max<tokens>(unspent, 0)) / routers;
+    const double full = std::min(per_ms * double(policy_.horizon.count()), share);
+    const double kept = unspent < 0 ? 0 : std::max(full, per_ms * double(policy_.scarce_horizon.count()));
+    const auto target = static_cast<tokens>(full) + of->waiting;
+    if (of->available < of->waiting || of->available < target / 2) {
+        return std::clamp<tokens>(target - of->available, 0, std::max<tokens>(unspent, 0));
+    }
+    const auto most = static_cast<tokens>(kept) + of->waiting;
+    const tokens margin = unspent < 0 ? 0 : std::max(most, idle_margin);
+    return of->available > most + margin ? most - of->available : 0;
+}
+
+std::map<std::string, tokens> allowance_table::all_available() const {
+    std::map<std::string, tokens> all;
+    for (const auto& [customer, of] : accounts_) {
+        all[customer] = of.available;
+    }
+    return all;
+}
+
+const allowance_table::account* allowance_table::find(const std::string& customer) const {
+    const auto it = accounts_.find(customer);
+    return it == accounts_.end() ? nullptr : &it->second;
+}
+
+double allowance_table::demand_per_ms(const account& of, clock::time_point now) const {
+    return of.recent_demand * std::exp(-elapsed_ms(of.demand_at, now) / demand_memory_ms) / demand_memory_ms;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/budgets/budget_ledger.cpp
@@ -0,0 +1,84 @@
+#include "budgets/budget_ledger.h"
+
+#include <algorithm>
+
+namespace eelgrassgw {
+
+namespace {
+
+std::int64_t newest_write(const budget_ledger& ledger) {
+    std::int64_t newest = 0;
+    for (const auto& [router, writer] : ledger.writers) {
+        newest = std::max(newest, writer.written_at_ms);
+    }
+    return newest;
+}
+
+failure malformed(const std::string& message) {
+    return make_failure(errc::malformed, "parse budget ledger", "", message);
+}
+
+} // namespace
+
+tokens budget_ledger::taken_by_all(const std::string& customer) const {
+    const auto it = taken.find(customer);
+    return it == taken.end() ? 0 : it->second;
+}
+
+bool budget_ledger::has_write(const std::string& router, std::uint64_t sequence) const {
+    const auto it = writers.find(router);
+    return it != writers.end() && it->second.sequence >= sequence;
+}
+
+void budget_ledger::note_write(const std::string& router, std::uint64_t sequence,
+                               std::chrono::milliseconds unix_time) {
+    writers[router] = {sequence, unix_time.count()};
+    const std::chrono::milliseconds retention = writer_retention;
+    const std::int64_t oldest = newest_write(*this) - retention.count();
+    std::erase_if(writers, [&](const auto& each) {
+        return each.first != router && each.second.written_at_ms < oldest;
+    });
+}
+
+int budget_ledger::routers_seen(std::chrono::milliseconds recent) const {
+    const std::int64_t oldest = newest_write(*this) - recent.count();
+    const auto n = std::count_if(writers.begin(), writers.end(),
+                                 [&](const auto& each) { return each.second.written_at_ms >= oldest; });
+    return std::max(1, static_cast<int>(n));
+}
+
+Json::Value to_json(const budget_ledger& ledger) {
+    Json::Value document(Json::objectValue);
+    Json::Value& taken = document["taken"] = Json::Value(Json::objectValue);
+    for (const auto& [customer, amount] : ledger.taken) {
+        taken[customer] = Json::Int64(amount);
+    }
+    Json::Value& writers = document["writers"] = Json::Value(Json::objectValue);
+    for (const auto& [router, writer] : ledger.writers) {
+        writers[router]["sequence"] = Json::UInt64(writer.sequence);
+        writers[router]["written_at_ms"] = Json::Int64(writer.written_at_ms);
+    }
+    return document;
+}
+
+result<budget_ledger> parse_budget_ledger(const Json::Value& document) {
+    if (!member(document, "taken").isObject() || !member(document, "writers").isObject()) {
+        return malformed("the document has no objects \"taken\" and \"writers\"");
+    }
+    budget_ledger ledger;
+    for (const std::string& customer : document["taken"].getMemberNames()) {
+        const Json::Value& amount = document["taken"][customer];
+        if (!amount.isInt64()) {
+            return malformed("what customer \"" + customer + "\" has taken is not a whole number");
+        }
+        ledger.taken[customer] = amount.asInt64();
+    }
+    for (const std::string& router : document["writers"].getMemberNames()) {
+        const Json::Value& writer = document["writers"][router];
+        ledger.writers[router] = {std::uint64_t(int_member(writer, "sequence")),
+                                  int_member(writer, "written_at_ms")};
+    }
+    return ledger;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/gateway/caller_answer.cpp
@@ -0,0 +1,53 @@
+#include "gateway/caller_answer.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace eelgrassgw {
+
+task<bool> caller_answer::send_whole(text_reply reply) {
+    started_ = true;
+    status_ = reply.result_int();
+    reply.version(11);
+    reply.keep_alive(keep_);
+    if (head_only_) {
+        reply.body().clear();
+    }
+    reply.prepare_payload();
+    net_error ec;
+    co_await http::async_write(caller_, reply, with_error(ec));
+    finished_ = !ec;
+    co_return finished_;
+}
+
+task<bool> caller_answer::start(answer_head head) {
+    started_ = true;
+    status_ = head.result_int();
+    head.version(11);
+    head.keep_alive(keep_);
+    head.chunked(true);
+    http::response_serializer<http::empty_body> serializer(head);
+    net_error ec;
+    co_await http::async_write_header(caller_, serializer, with_error(ec));
+    co_return !ec;
+}
+
+task<bool> caller_answer::send_piece(std::string piece) {
+    if (piece.empty()) {
+        co_return true; // An empty chunk would end the body.
+    }
+    net_error ec;
+    co_await asio::async_write(caller_, http::make_chunk(asio::buffer(piece)), with_error(ec));
+    co_return !ec;
+}
+
+task<bool> caller_answer::finish() {
+    net_error ec;
+    co_await asio::async_write(caller_, http::make_chunk_last(), with_error(ec));
+    finished_ = !ec;
+    co_return finished_;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,427 @@
+#pragma once
+
+/// The router: callers on one side, backend servers on the other, the platform's store beside them.
+
+#include "gateway/caller_session.h"
+#include "gateway/gateway_settings.h"
+#include "net/address.h"
+#include "net/http_service.h"
+#include "net/metrics_service.h"
+#include "relay/relay_protocol.h"
+#include "store/object_follower.h"
+#include "store/store_paths.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace eelgrassgw {
+
+/// How one platform is spoken to: the protocol of requests, the store, and the forms of its documents.
+template <class T>
+concept gateway_platform = caller_protocol<typename T::protocol> && followable_store<typename T::objects> &&
+    ledger_store<typename T::budgets> && requires(const Json::Value& document, const std::string& name) {
+    { T::decode_configuration(document) } -> std::same_as<result<std::shared_ptr<const fleet_configuration>>>;
+    { T::decode_backend_server(name, document) } -> std::same_as<result<backend_server>>;
+    { T::configuration_kind } -> std::convertible_to<std::string>;
+    { T::configuration_name } -> std::convertible_to<std::string>;
+    { T::backend_server_kind } -> std::convertible_to<std::string>;
+    { T::readiness_path } -> std::convertible_to<std::string>;
+};
+
+/// Runs until it is told to stop. Not thread-safe: all tasks run on one thread.
+template <gateway_platform Platform>
+class gateway {
+public:
+    using clock = std::chrono::steady_clock;
+    using milliseconds = std::chrono::milliseconds;
+    using budget_keeper_type = budget_keeper<typename Platform::budgets>;
+    using core = gateway_core<typename Platform::protocol, budget_keeper_type>;
+
+    static constexpr milliseconds flush_interval{100};  ///< Of the log.
+    static constexpr milliseconds upkeep_interval{500}; ///< Idle connections, lapsed entries.
+    static constexpr milliseconds peer_interval{1000};  ///< Between questions for relays.
+    static constexpr milliseconds accept_pause{50};     ///< After a failed accept.
+    static constexpr milliseconds rotation_delay{
+        2600};                                         ///< Until no new connections come after a stop signal.
+    static constexpr milliseconds refusal_delay{3000}; ///< After a stop signal, new requests are refused.
+    static constexpr milliseconds end_margin{700};     ///< Before the platform would end the process.
+    static constexpr std::size_t most_callers = 3500;  ///< Connections at once.
+
+    gateway(asio::io_context& context, gateway_settings settings, event_log& log, metrics_registry& metrics)
+        : context_(context), settings_(std::move(settings)), log_(log), metrics_(metrics),
+          control_pool_(context), paths_(control_pool_, settings_.store, sink()), objects_(paths_),
+          budgets_(context, typename Platform::budgets(paths_), settings_.name + "/" + random_id(),
+                   settings_.allowances, sink()),
+          core_(context, budgets_, log, metrics, settings_.retries) {}
+
+    /// Starts to listen and to follow the store. Fails where an address cannot be bound.
+    result<done> start();
+
+    /// Takes changed settings in; what needs a new start keeps its old value, and the log says so.
+    void reload(const gateway_settings& changed);
+
+    /// Stops as planned: leaves the rotation, finishes what runs, gives allowances back. Ends when that is
+    /// done.
+    task<void> stop();
+
+private:
+    event_sink_function sink() {
+        return [this](const char* event, Json::Value fields) {
+            log_.write(event, std::move(fields));
+        };
+    }
+    void spawn(task<void> job) { asio::co_spawn(context_, std::move(job), asio::detached); }
+
+    result<done> start_services();
+    task<void> accept_callers();
+    task<void> flush_log();
+    task<void> upkeep();
+    task<void> ask_peers_for_relays();
+    task<text_reply> answer_readiness(text_request request);
+    task<text_reply> answer_peer(text_request request);
+    bool ready() const {
+        return !core_.draining && core_.configuration != nullptr && !core_.directory.empty();
+    }
+    follower_callbacks configuration_callbacks();
+    follower_callbacks backend_callbacks();
+    void use_configuration(const followed_object& object);
+    void use_backend_entry(const followed_change& change, bool after_outage);
+    std::optional<backend_directory::entry> decode_entry(const followed_object& object);
+    void learn_relays(const std::vector<std::string>& relays);
+    void choose_relays();
+    void close_idle_sessions();
+
+    asio::io_context& context_;
+    gateway_settings settings_;
+    event_log& log_;
+    metrics_registry& metrics_;
+    connection_pool control_pool_; ///< To the store, relays and peers.
+    store_paths paths_;
+    typename Platform::objects objects_;
+    budget_keeper_type budgets_;
+    core core_;
+    std::optional<tcp::acceptor> acceptor_;
+    std::vector<std::weak_ptr<caller_session<core>>> sessions_;
+    std::set<std::string> announced_relays_; ///< Told by relays or peers.
+    std::set<std::string> unusable_entries_; ///< Entries that were reported as such.
+};
+
+template <gateway_platform Platform>
+result<done> gateway<Platform>::start() {
+    const result<done> served = start_services();
+    if (!served) {
+        return served;
+    }
+    result<tcp::acceptor> acceptor = listen_on(context_, settings_.listen);
+    if (!acceptor) {
+        return acceptor.error();
+    }
+    acceptor_.emplace(std::move(acceptor.value()));
+    spawn(accept_callers());
+    spawn(object_follower<typename Platform::objects>::follow(objects_, Platform::configuration_kind,
+                                                              configuration_callbacks()));
+    spawn(object_follower<typename Platform::objects>::follow(objects_, Platform::backend_server_kind,
+                                                              backend_callbacks()));
+    spawn(budgets_.run());
+    spawn(flush_log());
+    spawn(upkeep());
+    spawn(ask_peers_for_relays());
+    return done{};
+}
+
+template <gateway_platform Platform>
+result<done> gateway<Platform>::start_services() {
+    result<done> started = done{};
+    if (!settings_.readiness_listen.empty()) {
+        started = http_service::start(context_, settings_.readiness_listen,
+                                      [this](text_request r) { return answer_readiness(std::move(r)); });
+    }
+    if (started && !settings_.peer_listen.empty()) {
+        started = http_service::start(context_, settings_.peer_listen,
+                                      [this](text_request r) { return answer_peer(std::move(r)); });
+    }
+    if (started && !settings_.metrics_listen.empty()) {
+        started = serve_metrics(context_, settings_.metrics_listen, metrics_);
+    }
+    return started;
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::reload(const gateway_settings& changed) {
+    core_.retries.set_limits(changed.retries);
+    budgets_.set_policy(changed.allowances);
+    paths_.set_store(changed.store);
+    settings_.retries = changed.retries;
+    settings_.allowances = changed.allowances;
+    settings_.store = changed.store;
+    settings_.peers = changed.peers;
+    settings_.relay_port = changed.relay_port;
+    settings_.stop_limit = changed.stop_limit;
+    choose_relays();
+    Json::Value fields;
+    fields["listen_unchanged"] = changed.listen == settings_.listen;
+    log_.write("settings_reloaded", std::move(fields));
+}
+
+template <gateway_platform Platform>
+task<void> gateway<Platform>::accept_callers() {
+    for (;;) {
+        net_error ec;
+        tcp::socket caller = co_await acceptor_->async_accept(with_error(ec));
+        if (ec == asio::error::operation_aborted || !acceptor_->is_open()) {
+            co_return;
+        }
+        std::erase_if(sessions_, [](const auto& each) { return each.expired(); });
+        if (ec || sessions_.size() >= most_callers) {
+            metrics_.count("connections_not_accepted");
+            co_await sleep_for(accept_pause);
+            continue;
+        }
+        auto session = std::make_shared<caller_session<core>>(core_, std::move(caller));
+        sessions_.push_back(session);
+        spawn(session->run());
+    }
+}
+
+template <gateway_platform Platform>
+task<void> gateway<Platform>::flush_log() {
+    for (;;) {
+        log_.flush();
+        co_await sleep_for(flush_interval);
+    }
+}
+
+template <gateway_platform Platform>
+task<void> gateway<Platform>::upkeep() {
+    for (;;) {
+        const std::size_t lapsed = core_.directory.drop_lapsed(clock::now());
+        if (lapsed > 0) {
+            Json::Value fields;
+            fields["servers"] = Json::UInt64(lapsed);
+            log_.write("backend_servers_lapsed", std::move(fields));
+        }
+        core_.retries.set_routers(budgets_.routers());
+        core_.pool.close_stale();
+        control_pool_.close_stale();
+        metrics_.set("requests_running", core_.running);
+        metrics_.set("backend_connections_opened", double(core_.pool.opened()));
+        metrics_.set("log_lines_dropped", double(log_.dropped()));
+        co_await sleep_for(upkeep_interval);
+    }
+}
+
+/// A router that cannot reach the store and knows no backend servers learns from its peers who may relay.
+template <gateway_platform Platform>
+task<void> gateway<Platform>::ask_peers_for_relays() {
+    while (core_.configuration == nullptr || core_.directory.empty()) {
+        for (const std::string& peer : settings_.peers) {
+            if (peer == settings_.peer_listen) {
+                continue;
+            }
+            text_request request(http::verb::get, relays_path, 11);
+            const call_limits limits;
+            const auto reply = co_await call_http(control_pool_, peer, std::move(request), limits);
+            const auto relays = reply ? parse_json(reply.value().body()) : result<Json::Value>(reply.error());
+            if (relays) {
+                learn_relays(texts_of(relays.value()));
+            }
+        }
+        co_await sleep_for(peer_interval);
+    }
+}
+
+template <gateway_platform Platform>
+task<text_reply> gateway<Platform>::answer_readiness(text_request request) {
+    if (request.target() != Platform::readiness_path) {
+        co_return make_reply(http::status::not_found, "text/plain", "");
+    }
+    co_return make_reply(ready() ? http::status::ok : http::status::service_unavailable, "text/plain", "");
+}
+
+template <gateway_platform Platform>
+task<text_reply> gateway<Platform>::answer_peer(text_request request) {
+    if (request.target() != relays_path) {
+        co_return make_reply(http::status::not_found, "text/plain", "");
+    }
+    if (request.method() == http::verb::post) {
+        learn_relays({request.body()});
+        co_return make_reply(http::status::ok, "text/plain", "");
+    }
+    Json::Value relays(Json::arrayValue);
+    for (const std::string& relay : paths_.relays()) {
+        relays.append(relay);
+    }
+    co_return make_reply(http::status::ok, "application/json", to_text(relays));
+}
+
+template <gateway_platform Platform>
+follower_callbacks gateway<Platform>::configuration_callbacks() {
+    follower_callbacks callbacks;
+    callbacks.log = sink();
+    callbacks.listed = [this](const object_listing& all, bool) {
+        for (const followed_object& object : all.objects) {
+            use_configuration(object);
+        }
+    };
+    callbacks.changed = [this](const followed_change& change, bool) {
+        if (!change.removed) {
+            use_configuration(change.object);
+        }
+    };
+    return callbacks;
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::use_configuration(const followed_object& object) {
+    if (object.name != Platform::configuration_name) {
+        return;
+    }
+    auto decoded = Platform::decode_configuration(object.content);
+    Json::Value fields;
+    fields["revision"] = Json::UInt64(object.revision);
+    if (!decoded) {
+        fields["error"] = decoded.error().text();
+        log_.write_failure("configuration_rejected", std::move(fields));
+        return;
+    }
+    fields["version"] = Json::UInt64(decoded.value()->version());
+    if (core_.configuration != nullptr && decoded.value()->version() <= core_.configuration->version()) {
+        return;
+    }
+    core_.configuration = decoded.value();
+    budgets_.use(decoded.value());
+    choose_relays();
+    log_.write("configuration_in_force", std::move(fields));
+}
+
+template <gateway_platform Platform>
+follower_callbacks gateway<Platform>::backend_callbacks() {
+    follower_callbacks callbacks;
+    callbacks.log = sink();
+    callbacks.listed = [this](const object_listing& all, bool after_outage) {
+        std::vector<backend_directory::entry> entries;
+        for (const followed_object& object : all.objects) {
+            auto entry = decode_entry(object);
+            if (entry) {
+                entries.push_back(std::move(*entry));
+            }
+        }
+        core_.directory.replace_all(entries, after_outage, clock::now());
+        choose_relays();
+        Json::Value fields;
+        fields["servers"] = Json::UInt64(entries.size());
+        fields["revision"] = Json::UInt64(all.revision);
+        fields["after_outage"] = after_outage;
+        log_.write("backend_servers_listed", std::move(fields));
+    };
+    callbacks.changed = [this](const followed_change& change, bool after_outage) {
+        use_backend_entry(change, after_outage);
+        choose_relays();
+    };
+    return callbacks;
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::use_backend_entry(const followed_change& change, bool after_outage) {
+    Json::Value fields;
+    fields["server"] = change.object.name;
+    fields["revision"] = Json::UInt64(change.object.revision);
+    auto entry = change.removed ? std::nullopt : decode_entry(change.object);
+    if (entry) {
+        const bool draining = entry->server.draining;
+        core_.directory.put(*entry);
+        fields["state"] = draining ? "draining" : "ready";
+    } else {
+        const bool lapsed = change.removed && after_outage;
+        core_.directory.remove(change.object.name, change.object.revision, lapsed, clock::now());
+        fields["state"] = lapsed ? "lapsed" : "removed";
+    }
+    log_.write("backend_server_changed", std::move(fields));
+}
+
+template <gateway_platform Platform>
+std::optional<backend_directory::entry> gateway<Platform>::decode_entry(const followed_object& object) {
+    const auto decoded = Platform::decode_backend_server(object.name, object.content);
+    if (decoded) {
+        return backend_directory::entry{decoded.value(), object.revision};
+    }
+    if (unusable_entries_.insert(object.name).second) {
+        Json::Value fields;
+        fields["server"] = object.name;
+        fields["error"] = decoded.error().text();
+        log_.write_failure("backend_entry_rejected", std::move(fields));
+    }
+    return std::nullopt;
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::learn_relays(const std::vector<std::string>& relays) {
+    constexpr std::size_t most_announced = 200;
+    for (const std::string& relay : relays) {
+        if (announced_relays_.size() < most_announced && parse_address(relay)) {
+            announced_relays_.insert(relay);
+        }
+    }
+    choose_relays();
+}
+
+/// Relays beside model servers that are listed, those of this data centre first; before any is known,
+/// announced ones.
+template <gateway_platform Platform>
+void gateway<Platform>::choose_relays() {
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto& each : core_.directory.all()) {
+        const bool runs_models = core_.configuration != nullptr &&
+                                 core_.configuration->find_service(each->server.service).runs_models;
+        if (settings_.relay_port != 0 && runs_models) {
+            const std::string relay = make_address(host_of(each->server.address), settings_.relay_port);
+            (each->server.data_centre == settings_.data_centre ? near : far).push_back(relay);
+        }
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    if (near.empty()) {
+        near.assign(announced_relays_.begin(), announced_relays_.end());
+    }
+    paths_.set_relays(std::move(near));
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::close_idle_sessions() {
+    for (const auto& each : sessions_) {
+        if (const auto session = each.lock()) {
+            session->close_if_idle();
+        }
+    }
+}
+
+template <gateway_platform Platform>
+task<void> gateway<Platform>::stop() {
+    const auto begun = clock::now();
+    const auto last = begun + settings_.stop_limit - end_margin;
+    core_.draining = true;
+    log_.write("stop_begun");
+    co_await sleep_for(rotation_delay);
+    core_.closing = true;
+    close_idle_sessions();
+    while (core_.running > 0 && clock::now() < last) {
+        core_.refusing = clock::now() - begun >= refusal_delay;
+        close_idle_sessions();
+        co_await sleep_for(milliseconds(20));
+    }
+    net_error ignored;
+    acceptor_->close(ignored);
+    const bool returned = co_await budgets_.give_back();
+    Json::Value fields;
+    fields["requests_cut"] = core_.running;
+    fields["allowances_returned"] = returned;
+    log_.write("stopped", std::move(fields));
+    log_.flush();
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/net/connection_pool.cpp
@@ -0,0 +1,111 @@
+#include "net/connection_pool.h"
+
+#include "net/address.h"
+#include "net/socket_deadline.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+
+namespace eelgrassgw {
+
+namespace {
+
+using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using tcp_keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using tcp_keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using tcp_keep_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+constexpr int probe_seconds = 1;
+constexpr int most_probes = 3;
+
+} // namespace
+
+void set_connection_options(tcp::socket& socket, std::chrono::milliseconds unacknowledged_limit) {
+    net_error ignored; // Without an option a connection still works, only slower to notice a silent peer.
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(tcp_keep_idle(probe_seconds), ignored);
+    socket.set_option(tcp_keep_interval(probe_seconds), ignored);
+    socket.set_option(tcp_keep_count(most_probes), ignored);
+    socket.set_option(tcp_user_timeout(static_cast<int>(unacknowledged_limit.count())), ignored);
+}
+
+bool is_quiet(tcp::socket& socket) {
+    net_error ec;
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+task<result<std::unique_ptr<connection>>> connection_pool::open(std::string address,
+                                                                std::chrono::milliseconds connect_limit) {
+    std::unique_ptr<connection> kept = take_idle(address);
+    if (kept != nullptr) {
+        co_return kept;
+    }
+    co_return co_await connect(std::move(address), connect_limit);
+}
+
+void connection_pool::keep(std::unique_ptr<connection> idle, std::chrono::milliseconds keep_for) {
+    auto& list = idle_[idle->peer];
+    if (list.size() >= most_idle_per_peer || keep_for <= std::chrono::milliseconds(0)) {
+        return;
+    }
+    idle->keep_until = clock::now() + keep_for;
+    list.push_back(std::move(idle));
+}
+
+void connection_pool::forget(const std::string& address) {
+    idle_.erase(address);
+}
+
+void connection_pool::close_stale() {
+    const auto now = clock::now();
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        std::erase_if(it->second,
+                      [&](const auto& each) { return each->keep_until <= now || !is_quiet(each->socket); });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+std::unique_ptr<connection> connection_pool::take_idle(const std::string& address) {
+    const auto it = idle_.find(address);
+    while (it != idle_.end() && !it->second.empty()) {
+        std::unique_ptr<connection> newest = std::move(it->second.back());
+        it->second.pop_back();
+        if (newest->keep_until > clock::now() && is_quiet(newest->socket)) {
+            newest->reused = true;
+            return newest;
+        }
+    }
+    return nullptr;
+}
+
+task<result<std::unique_ptr<connection>>> connection_pool::connect(std::string address,
+                                                                   std::chrono::milliseconds connect_limit) {
+    const result<tcp::endpoint> endpoint = parse_address(address);
+    if (!endpoint) {
+        co_return endpoint.error();
+    }
+    auto made = std::make_unique<connection>(tcp::socket(context_));
+    made->peer = address;
+    net_error ec;
+    made->socket.open(endpoint.value().protocol(), ec);
+    if (!ec) {
+        set_connection_options(made->socket, unacknowledged_limit);
+        const socket_deadline limit(made->socket, connect_limit);
+        co_await made->socket.async_connect(endpoint.value(), with_error(ec));
+        if (limit.passed()) {
+            ec = asio::error::timed_out;
+        }
+    }
+    if (ec) {
+        co_return make_failure(errc::unreachable, "connect", address, ec.message());
+    }
+    ++opened_;
+    co_return made;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/routes/fleet_configuration.cpp
@@ -0,0 +1,102 @@
+#include "routes/fleet_configuration.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace eelgrassgw {
+
+namespace {
+
+std::string normalized_host(std::string_view host) {
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+    return name;
+}
+
+std::string route_key(const std::string& host, std::string_view prefix) {
+    return host + "\n" + std::string(prefix);
+}
+
+} // namespace
+
+const route* fleet_configuration::find_route(std::string_view host, std::string_view path) const {
+    const std::string name = normalized_host(host);
+    std::size_t end = path.rfind('/');
+    while (end != std::string_view::npos) {
+        const auto it = routes_.find(route_key(name, path.substr(0, end + 1)));
+        if (it != routes_.end()) {
+            return &it->second;
+        }
+        end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const customer* fleet_configuration::find_customer_by_key(const std::string& key) const {
+    const auto it = customer_of_key_.find(key);
+    return it == customer_of_key_.end() ? nullptr : find_customer(it->second);
+}
+
+const customer* fleet_configuration::find_customer(const std::string& name) const {
+    const auto it = customers_.find(name);
+    return it == customers_.end() ? nullptr : &it->second;
+}
+
+const service_definition& fleet_configuration::find_service(const std::string& name) const {
+    const auto it = services_.find(name);
+    return it == services_.end() ? unknown_service_ : it->second;
+}
+
+fleet_configuration::builder::builder(std::uint64_t version)
+    : built_(std::make_shared<fleet_configuration>()) {
+    built_->version_ = version;
+}
+
+fleet_configuration::builder& fleet_configuration::builder::add(route added) {
+    added.host = normalized_host(added.host);
+    built_->routes_[route_key(added.host, added.path_prefix)] = std::move(added);
+    return *this;
+}
+
+fleet_configuration::builder& fleet_configuration::builder::add(customer added) {
+    for (const std::string& key : added.api_keys) {
+        built_->customer_of_key_[key] = added.name;
+    }
+    built_->customers_[added.name] = std::move(added);
+    return *this;
+}
+
+fleet_configuration::builder& fleet_configuration::builder::add(service_definition added) {
+    built_->services_[added.name] = std::move(added);
+    return *this;
+}
+
+fleet_configuration::builder& fleet_configuration::builder::set(const caller_limits& limits) {
+    built_->limits_ = limits;
+    return *this;
+}
+
+std::shared_ptr<const fleet_configuration> fleet_configuration::builder::build() {
+    return std::exchange(built_, nullptr);
+}
+
+const std::string& choose_service(const route& r, std::uint64_t random) {
+    std::uint64_t total = 0;
+    for (const weighted_service& each : r.services) {
+        total += each.weight;
+    }
+    if (total == 0) {
+        return r.services.front().service;
+    }
+    std::uint64_t rest = random % total;
+    for (const weighted_service& each : r.services) {
+        if (rest < each.weight) {
+            return each.service;
+        }
+        rest -= each.weight;
+    }
+    return r.services.back().service;
+}
+
+} // namespace eelgrassgw
--- a/src/settings/document_reader.cpp
+++ b/src/settings/document_reader.cpp
@@ -1,6 +1,8 @@
 #include "eelgrassgw/settings/document_reader.h"
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 
 namespace eelgrassgw {
 
@@ -151,6 +153,19 @@
     return *value;
 }
 
+double document_reader::number_or(const char* name, double least, double most, double fallback) {
+    const Json::Value* value = find(name);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->isNumeric() || value->asDouble() < least || value->asDouble() > most) {
+        report(name, to_text(*value),
+               "a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return value->asDouble();
+}
+
 void document_reader::finish() {
     if (!document_.isObject()) {
         return;
@@ -163,4 +178,34 @@
     }
 }
 
+failure document_reader::to_failure(const std::string& file) const {
+    std::string lines;
+    for (const std::string& error : errors_) {
+        lines += "\n  " + error;
+    }
+    return make_failure(errc::malformed, "read settings", file, lines);
+}
+
+result<std::string> read_file(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        return make_failure(errc::not_found, "read file", "", "file \"" + file + "\" cannot be read");
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+result<Json::Value> load_document(const std::string& file) {
+    const result<std::string> text = read_file(file);
+    if (!text) {
+        return text.error();
+    }
+    const result<Json::Value> document = parse_json(text.value());
+    if (!document) {
+        return make_failure(errc::malformed, "read settings", file, document.error().message);
+    }
+    return document;
+}
+
 } // namespace eelgrassgw
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -1,8 +1,5 @@
 #include "eelgrassgw/settings/process_settings.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace eelgrassgw {
 
 namespace {
@@ -95,38 +92,8 @@
     return tls;
 }
 
-failure settings_failure(const std::string& file, const document_reader& in) {
-    std::string lines;
-    for (const std::string& error : in.errors()) {
-        lines += "\n  " + error;
-    }
-    return make_failure(errc::malformed, "read settings", file, lines);
-}
-
-result<Json::Value> load_document(const std::string& file) {
-    const result<std::string> text = read_file(file);
-    if (!text) {
-        return text.error();
-    }
-    const result<Json::Value> document = parse_json(text.value());
-    if (!document) {
-        return make_failure(errc::malformed, "read settings", file, document.error().message);
-    }
-    return document;
-}
-
 } // namespace
 
-result<std::string> read_file(const std::string& file) {
-    std::ifstream in(file, std::ios::binary);
-    if (!in) {
-        return make_failure(errc::not_found, "read file", "", "file \"" + file + "\" cannot be read");
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 result<router_settings> load_router_settings(const std::string& file) {
     const result<Json::Value> document = load_document(file);
     if (!document) {
@@ -157,7 +124,7 @@
     }
     in.finish();
     if (!in.errors().empty()) {
-        return settings_failure(file, in);
+        return in.to_failure(file);
     }
     return s;
 }
@@ -184,7 +151,7 @@
     s.max_connections = static_cast<unsigned>(in.integer_or("max_connections", 8, 20000, s.max_connections));
     in.finish();
     if (!in.errors().empty()) {
-        return settings_failure(file, in);
+        return in.to_failure(file);
     }
     return s;
 }
--- /dev/null
+++ b/src/streams/event_splitter.cpp
@@ -0,0 +1,83 @@
+#include "streams/event_splitter.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace eelgrassgw {
+
+namespace {
+
+std::optional<std::int64_t> number_of(const std::string& id) {
+    std::int64_t n = 0;
+    const auto parsed = std::from_chars(id.data(), id.data() + id.size(), n);
+    if (parsed.ec != std::errc() || parsed.ptr != id.data() + id.size()) {
+        return std::nullopt;
+    }
+    return n;
+}
+
+/// Where the event that begins at `from` ends, after its empty line; npos where it is not whole.
+std::size_t event_end(std::string_view text, std::size_t from) {
+    const std::size_t lf = text.find("\n\n", from);
+    const std::size_t crlf = text.find("\r\n\r\n", from);
+    if (lf == std::string_view::npos && crlf == std::string_view::npos) {
+        return std::string_view::npos;
+    }
+    return lf < crlf ? lf + 2 : crlf + 4;
+}
+
+std::string id_of(std::string_view event) {
+    std::size_t at = 0;
+    while (at < event.size()) {
+        std::size_t end = event.find('\n', at);
+        end = end == std::string_view::npos ? event.size() : end;
+        std::string_view line = event.substr(at, end - at);
+        if (line.starts_with("id:")) {
+            line.remove_prefix(3);
+            line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+            return std::string(line.substr(0, line.find('\r')));
+        }
+        at = end + 1;
+    }
+    return {};
+}
+
+} // namespace
+
+std::string event_splitter::take(std::string_view bytes) {
+    rest_ += bytes;
+    std::string whole;
+    std::size_t from = 0;
+    for (std::size_t end = event_end(rest_, 0); end != std::string::npos; end = event_end(rest_, from)) {
+        const std::string_view event = std::string_view(rest_).substr(from, end - from);
+        const std::string id = id_of(event);
+        from = end;
+        if (is_repetition(id)) {
+            continue;
+        }
+        whole += event;
+        ++events_;
+        last_id_ = id.empty() ? last_id_ : id;
+    }
+    rest_.erase(0, from);
+    return whole;
+}
+
+std::string event_splitter::take_rest() {
+    events_ += rest_.empty() ? 0 : 1;
+    return std::exchange(rest_, {});
+}
+
+void event_splitter::restart() {
+    rest_.clear();
+    restarted_ = true;
+}
+
+bool event_splitter::is_repetition(const std::string& id) const {
+    const auto number = number_of(id);
+    const auto last = number_of(last_id_);
+    return restarted_ && number.has_value() && last.has_value() && *number <= *last;
+}
+
+} // namespace eelgrassgw
