Charge what was delivered; smaller allowances, refilled with other customers' writes

Cause: 402 while customers had got less than they paid for. (1) Prompts of requests of which nothing reached the caller were charged. Ruled out: charging the most that a request may use; longer allowances. Change: nothing is charged before the first event is passed on; horizon 0.7 s plus twice the last write's time; a write takes along the refills of all customers, and is made only where one of them runs low.

--- a/src/budgets/allowance_table.cpp
+++ b/src/budgets/allowance_table.cpp
@@ -68,23 +68,27 @@
     return of != nullptr && static_cast<double>(of->available) < full / 2;
 }
 
-tokens allowance_table::wanted_change(const std::string& customer, tokens unspent, int routers,
-                                      clock::time_point now) const {
+allowance_change allowance_table::wanted_change(const std::string& customer, tokens unspent, int routers,
+                                                std::chrono::milliseconds covered,
+                                                clock::time_point now) const {
     const account* of = find(customer);
     if (of == nullptr) {
-        return 0;
+        return {};
     }
+    const tokens free = std::max<tokens>(unspent, 0);
     const double per_ms = demand_per_ms(*of, now);
-    const double share = policy_.largest_share * double(std::max<tokens>(unspent, 0)) / routers;
-    const double full = std::min(per_ms * double(policy_.horizon.count()), share);
-    const double kept = unspent < 0 ? 0 : std::max(full, per_ms * double(policy_.scarce_horizon.count()));
+    const double share = policy_.largest_share * double(free) / routers;
+    const double full = std::min(per_ms * double((policy_.horizon + covered).count()), share);
     const auto target = static_cast<tokens>(full) + of->waiting;
-    if (of->available < of->waiting || of->available < target / 2) {
-        return std::clamp<tokens>(target - of->available, 0, std::max<tokens>(unspent, 0));
+    if (of->available < target) {
+        const tokens amount = std::min(target - of->available, free);
+        const bool low = of->available < of->waiting || of->available < target / 2;
+        return {amount, low && amount > 0};
     }
-    const auto most = static_cast<tokens>(kept) + of->waiting;
+    const double scarce = unspent < 0 ? 0 : per_ms * double(policy_.scarce_horizon.count());
+    const auto most = static_cast<tokens>(std::max(full, scarce)) + of->waiting;
     const tokens margin = unspent < 0 ? 0 : std::max(most, idle_margin);
-    return of->available > most + margin ? most - of->available : 0;
+    return of->available > most + margin ? allowance_change{most - of->available, true} : allowance_change{};
 }
 
 std::map<std::string, tokens> allowance_table::all_available() const {
--- a/src/budgets/allowance_table.h
+++ b/src/budgets/allowance_table.h
@@ -13,11 +13,17 @@
 /// How large allowances are. Load answered: outages of the store for a few seconds, and the death of routers,
 /// whose allowances are lost to the customer.
 struct allowance_policy {
-    std::chrono::milliseconds horizon{2000}; ///< Demand that an allowance covers while the budget lasts.
+    std::chrono::milliseconds horizon{700}; ///< Demand that an allowance covers while the budget lasts.
     std::chrono::milliseconds scarce_horizon{300}; ///< Demand that a router keeps when the budget runs out.
     double largest_share = 0.5; ///< Of the unspent budget that all routers together may hold.
 };
 
+/// What a router would like to change in the ledger for one customer.
+struct allowance_change {
+    tokens amount = 0;   ///< To take from the ledger (positive) or to give back (negative).
+    bool is_due = false; ///< Worth a write of its own; others go along with the next write.
+};
+
 /// Tokens of an allowance are in exactly one place: available, or reserved by a running request.
 /// Not thread-safe.
 class allowance_table {
@@ -50,10 +56,11 @@
     /// Whether a router that knows no recent ledger should ask for more soon.
     bool runs_low(const std::string& customer, clock::time_point now) const;
 
-    /// What to take from the ledger (positive) or to give back (negative), given the budget's `unspent`
-    /// tokens, which may be negative, and the number of routers that share it. Precondition: `routers` > 0.
-    tokens wanted_change(const std::string& customer, tokens unspent, int routers,
-                         clock::time_point now) const;
+    /// What to change in the ledger, given the budget's `unspent` tokens, which may be negative, and the
+    /// number of routers that share it. `covered` is how long one write takes, which the allowance must
+    /// bridge too. Precondition: `routers` > 0.
+    allowance_change wanted_change(const std::string& customer, tokens unspent, int routers,
+                                   std::chrono::milliseconds covered, clock::time_point now) const;
 
     /// Customers with tokens here or demand.
     std::map<std::string, tokens> all_available() const;
--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -127,7 +127,11 @@
     bool ledger_is_fresh() const { return known_.revision != 0 && clock::now() - known_at_ <= fresh_enough; }
     tokens unspent(const std::string& customer) const;
     void take_in(const versioned_ledger& now);
-    std::map<std::string, tokens> plan() const;
+    struct planned_changes {
+        std::map<std::string, tokens> amounts;
+        bool is_due = false;
+    };
+    planned_changes plan() const;
     task<bool> round();
     task<bool> read_ledger();
     task<ledger_write> write_changes(const std::map<std::string, tokens>& changes);
@@ -148,6 +152,7 @@
     versioned_ledger known_;
     clock::time_point known_at_{};
     clock::time_point written_at_{};
+    std::chrono::milliseconds write_time_{0}; ///< How long the last write took.
     std::uint64_t sequence_ = 0;
     std::optional<open_write> open_; ///< A write whose outcome is not known.
     bool store_away_ = false;
@@ -222,21 +227,25 @@
 /// Brings allowances and ledger to what is wanted, through as many conflicts as it takes, up to a bound.
 template <ledger_store Store>
 task<bool> budget_keeper<Store>::round() {
-    if (known_.revision == 0 || open_.has_value() || (anyone_waits() && plan().empty())) {
+    const bool hopeless = anyone_waits() && !plan().is_due; // By the known ledger; a newer one may say more.
+    if (known_.revision == 0 || open_.has_value() || hopeless) {
         if (!co_await read_ledger()) {
             co_return false;
         }
     }
     for (int i = 0; i < most_conflicts; ++i) {
-        const std::map<std::string, tokens> changes = plan();
-        if (changes.empty() && clock::now() - written_at_ < presence_interval && known_.revision != 0) {
+        const planned_changes changes = plan();
+        const bool must_show = known_.revision == 0 || clock::now() - written_at_ >= presence_interval;
+        if (!changes.is_due && !must_show) {
             serve_waiting(true);
             co_return true;
         }
-        const ledger_write written = co_await write_changes(changes);
+        const auto begun = clock::now();
+        const ledger_write written = co_await write_changes(changes.amounts);
         if (written.how == ledger_write::outcome::unknown) {
             co_return false;
         }
+        write_time_ = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - begun);
         take_in(written.now);
         if (written.how == ledger_write::outcome::applied) {
             serve_waiting(true);
@@ -308,14 +317,16 @@
 }
 
 template <ledger_store Store>
-std::map<std::string, tokens> budget_keeper<Store>::plan() const {
-    std::map<std::string, tokens> changes;
+typename budget_keeper<Store>::planned_changes budget_keeper<Store>::plan() const {
+    planned_changes changes;
     const auto now = clock::now();
     for (const auto& [customer, available] : allowances_.all_available()) {
-        const tokens change =
-            stopped_ ? -available : allowances_.wanted_change(customer, unspent(customer), routers(), now);
-        if (change != 0) {
-            changes[customer] = change;
+        const allowance_change change = stopped_ ? allowance_change{-available, true}
+                                                 : allowances_.wanted_change(customer, unspent(customer),
+                                                                             routers(), 2 * write_time_, now);
+        if (change.amount != 0) {
+            changes.amounts[customer] = change.amount;
+            changes.is_due = changes.is_due || change.is_due;
         }
     }
     return changes;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -109,6 +109,7 @@
     std::string service_;
     request_terms terms_;
     tokens reserved_ = 0;
+    tokens used_ = 0; ///< Of `reserved_`, once settled.
     std::vector<std::string> tried_;
     int sent_ = 0; ///< Backend servers that were sent the request.
     bool may_have_run_ = false;
@@ -497,19 +498,19 @@
     co_await answer_.send_whole(std::move(reply));
 }
 
-/// Charges what was used: the prompt once if a server may have run it, and the events that were passed on.
+/// Charges what the caller got: the prompt once, and the events that were passed on. A request of which
+/// nothing reached the caller costs its customer nothing.
 template <class Core>
 void exchange<Core>::settle() {
     if (reserved_ == 0) {
         return;
     }
-    tokens used = 0;
-    if (may_have_run_) {
+    if (events_.events() > 0) {
         const tokens per_event = configuration_->find_service(service_).max_tokens_per_event;
         const tokens output = std::min(events_.events() * per_event, terms_.prompt->most_output_tokens);
-        used = terms_.prompt->prompt_tokens + output;
+        used_ = terms_.prompt->prompt_tokens + output;
     }
-    core_.budgets.settle(customer_->name, reserved_, used);
+    core_.budgets.settle(customer_->name, reserved_, used_);
 }
 
 template <class Core>
@@ -534,10 +535,12 @@
     if (customer_ != nullptr && route_->carries_prompt) {
         const budget_view budget = core_.budgets.view(customer_->name);
         fields["reserved"] = Json::Int64(reserved_);
+        fields["used"] = Json::Int64(used_);
         fields["events"] = Json::Int64(events_.events());
         fields["ledger"] = Json::UInt64(budget.ledger_revision);
         fields["ledger_age_ms"] = Json::Int64(budget.ledger_age.count());
         fields["unspent"] = Json::Int64(budget.unspent);
+        fields["prepaid"] = Json::Int64(customer_->prepaid.value_or(0));
         fields["available"] = Json::Int64(budget.available);
     }
     core_.metrics.count("requests", {{"outcome", outcome_}});
