--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -440,7 +440,9 @@
     whole.base() = core_.protocol.to_caller(reply.head());
     whole.body() = std::move(body);
     if (kind != answer_kind::success) {
-        held_failure_ = std::move(whole);
+        if (kind == answer_kind::failure) {
+            held_failure_ = std::move(whole); // One that declines says nothing of an earlier server's run.
+        }
         co_return attempt_end::failed;
     }
     co_await answer_.send_whole(std::move(whole));
--- /dev/null
+++ b/test/gateway/adapter_test.cpp
@@ -0,0 +1,123 @@
+/// The platform's headers and documents, decoded.
+
+#include "platform/adapter.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw::platform {
+namespace {
+
+text_request with_headers(std::initializer_list<std::pair<const char*, const char*>> headers) {
+    text_request request(http::verb::post, "/a/", 11);
+    request.set("Attempt-Id", "id");
+    for (const auto& [name, value] : headers) {
+        request.set(name, value);
+    }
+    return request;
+}
+
+TEST(caller_protocol, prompt_is_decoded) {
+    const auto terms = caller_protocol().decode(
+        with_headers({{"Token-Counts", "1460,80"}, {"Prompt-Prefix", "a:800,b:410,c:250"}}));
+    ASSERT_TRUE(terms.ok());
+    ASSERT_TRUE(terms.value().prompt.has_value());
+    EXPECT_EQ(1540, terms.value().prompt->most_tokens());
+    EXPECT_EQ("b", terms.value().prompt->shared_part);
+}
+
+TEST(caller_protocol, single_part_is_the_requests_own) {
+    const auto terms =
+        caller_protocol().decode(with_headers({{"Token-Counts", "10,5"}, {"Prompt-Prefix", "a:10"}}));
+    EXPECT_EQ("", terms.value().prompt->shared_part);
+}
+
+TEST(caller_protocol, bad_token_counts_name_header_and_value) {
+    const auto terms = caller_protocol().decode(with_headers({{"Token-Counts", "many"}}));
+    ASSERT_FALSE(terms.ok());
+    EXPECT_NE(std::string::npos, terms.error().message.find("\"Token-Counts\" is \"many\""));
+}
+
+TEST(caller_protocol, negative_token_counts_are_refused) {
+    EXPECT_FALSE(caller_protocol().decode(with_headers({{"Token-Counts", "-5,10"}})).ok());
+}
+
+TEST(caller_protocol, headers_that_concern_one_connection_are_not_forwarded) {
+    const auto request = with_headers({{"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}});
+    const auto out = caller_protocol().to_backend(request, request_terms{}, backend_send{});
+    EXPECT_EQ("", std::string(out["X-Hop"]));
+    EXPECT_EQ("2", std::string(out["X-End"]));
+}
+
+TEST(caller_protocol, repeated_headers_are_all_forwarded) {
+    text_request request = with_headers({});
+    request.insert("X-Many", "1");
+    request.insert("X-Many", "2");
+    const auto out = caller_protocol().to_backend(request, request_terms{}, backend_send{});
+    EXPECT_EQ(2U, out.count("X-Many"));
+}
+
+Json::Value server_entry() {
+    return parse_json(
+               R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","sequence":1,
+                          "born":1700000000123})")
+        .value();
+}
+
+TEST(decode_backend_server, entry_is_decoded) {
+    const auto server = decode_backend_server("i-1", server_entry());
+    ASSERT_TRUE(server.ok());
+    EXPECT_EQ("i-1", server.value().id);
+    EXPECT_EQ("z", server.value().data_centre);
+    EXPECT_EQ(1700000000123, server.value().started_ms);
+    EXPECT_FALSE(server.value().draining);
+}
+
+TEST(decode_backend_server, each_missing_or_mistyped_field_names_no_server) {
+    for (const char* field : {"service", "address", "zone", "slots", "state", "sequence"}) {
+        Json::Value missing = server_entry();
+        missing.removeMember(field);
+        EXPECT_FALSE(decode_backend_server("i-1", missing).ok()) << field;
+        Json::Value mistyped = server_entry();
+        mistyped[field] = Json::Value(Json::arrayValue);
+        EXPECT_FALSE(decode_backend_server("i-1", mistyped).ok()) << field;
+    }
+}
+
+TEST(decode_backend_server, unknown_state_names_no_server) {
+    Json::Value entry = server_entry();
+    entry["state"] = "resting";
+    const auto server = decode_backend_server("i-1", entry);
+    ASSERT_FALSE(server.ok());
+    EXPECT_NE(std::string::npos, server.error().message.find("\"state\""));
+}
+
+TEST(decode_configuration, routes_services_and_customers_are_decoded) {
+    const auto configuration = decode_configuration(parse_json(R"({"version":7,
+        "routes":[{"name":"r","hostname":"h.example","pathPrefix":"/p/","kind":"streaming","timeoutMs":12000,
+                   "targetLatencyMs":400,"priority":0,"maxAttempts":2,"public":false,"sticky":true,"resumable":true,
+                   "trafficSplit":[{"service":"a","weight":90},{"service":"b","weight":10}]}],
+        "services":[{"name":"a","maxConnections":370,"engine":{"stride":6}},{"name":"b","maxConnections":110}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+        "tenants":[{"name":"t","apiKeys":["k"],"priority":1,"prepaid":4166154}]})")
+                                                        .value());
+    ASSERT_TRUE(configuration.ok());
+    const route* r = configuration.value()->find_route("h.example", "/p/x");
+    ASSERT_NE(nullptr, r);
+    EXPECT_EQ(request_kind::stream, r->kind);
+    EXPECT_TRUE(r->resumable);
+    EXPECT_TRUE(r->carries_prompt);
+    EXPECT_EQ(2U, r->services.size());
+    EXPECT_EQ(6, configuration.value()->find_service("a").max_tokens_per_event);
+    EXPECT_FALSE(configuration.value()->find_service("b").runs_models);
+    EXPECT_EQ(4166154, configuration.value()->find_customer_by_key("k")->prepaid);
+}
+
+TEST(decode_configuration, unknown_kind_names_the_field) {
+    const auto configuration = decode_configuration(
+        parse_json(R"({"version":1,"routes":[{"name":"r","service":"s","kind":"sometimes"}]})").value());
+    ASSERT_FALSE(configuration.ok());
+    EXPECT_NE(std::string::npos, configuration.error().message.find("\"kind\" is \"sometimes\""));
+}
+
+} // namespace
+} // namespace eelgrassgw::platform
--- /dev/null
+++ b/test/gateway/allowance_table_test.cpp
@@ -0,0 +1,86 @@
+/// What a router holds of a budget.
+
+#include "budgets/allowance_table.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw {
+namespace {
+
+using namespace std::chrono_literals;
+
+class allowance_table_test : public ::testing::Test {
+protected:
+    allowance_change change(tokens unspent, int routers = 5) const {
+        return table.wanted_change("c", unspent, routers, 0ms, now);
+    }
+
+    allowance_policy policy{500ms, 300ms, 0.5};
+    allowance_table table{policy};
+    allowance_table::clock::time_point now = allowance_table::clock::now();
+};
+
+TEST_F(allowance_table_test, reservation_beyond_the_allowance_fails) {
+    table.add("c", 100);
+    EXPECT_FALSE(table.reserve("c", 101));
+    EXPECT_EQ(100, table.available("c"));
+}
+
+TEST_F(allowance_table_test, unused_part_of_a_reservation_comes_back) {
+    table.add("c", 100);
+    ASSERT_TRUE(table.reserve("c", 80));
+    table.settle("c", 80, 30);
+    EXPECT_EQ(70, table.available("c"));
+    EXPECT_EQ(0, table.reserved("c"));
+}
+
+TEST_F(allowance_table_test, waiting_request_makes_a_write_due) {
+    table.note_waiting("c", 1000);
+    EXPECT_EQ(1000, change(1000000).amount);
+    EXPECT_TRUE(change(1000000).is_due);
+}
+
+TEST_F(allowance_table_test, grant_never_exceeds_what_is_unspent) {
+    table.note_waiting("c", 1000);
+    EXPECT_EQ(400, change(400).amount);
+}
+
+TEST_F(allowance_table_test, lowered_quota_never_makes_a_negative_grant) {
+    table.note_waiting("c", 1000);
+    EXPECT_EQ(0, change(-5000).amount);
+}
+
+TEST_F(allowance_table_test, lowered_quota_brings_back_what_nothing_holds) {
+    table.add("c", 300);
+    table.note_demand("c", 10000, now);
+    EXPECT_EQ(-300, change(-5000).amount);
+}
+
+TEST_F(allowance_table_test, idle_allowance_goes_back) {
+    table.add("c", 100000);
+    EXPECT_LT(change(1000000).amount, 0);
+    EXPECT_TRUE(change(1000000).is_due);
+}
+
+TEST_F(allowance_table_test, all_routers_together_hold_at_most_their_share_of_what_is_unspent) {
+    constexpr int routers = 10;
+    table.note_demand("c", 10000000, now);
+    EXPECT_LE(change(1000, routers).amount * routers, 500);
+}
+
+TEST_F(allowance_table_test, demand_fades) {
+    table.note_demand("c", 100000, now);
+    const tokens at_once = change(10000000).amount;
+    now += 10s;
+    EXPECT_LT(change(10000000).amount, at_once / 10);
+}
+
+TEST_F(allowance_table_test, half_full_allowance_waits_for_another_customers_write) {
+    table.note_demand("c", 4000, now); // 2 tokens a millisecond, so 1000 are the target.
+    table.add("c", 600);
+    EXPECT_EQ(400, change(10000000).amount);
+    EXPECT_FALSE(change(10000000).is_due);
+}
+
+} // namespace
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/at_most_once_test.cpp
@@ -0,0 +1,140 @@
+/// Requests that may not be repeated run at most once, and a refusal that says "not run" is true.
+
+#include "gateway_fixture.h"
+
+namespace eelgrassgw {
+namespace {
+
+using namespace std::chrono_literals;
+
+class at_most_once_test : public gateway_fixture {
+protected:
+    void SetUp() override {
+        configure({{"/read/", "idempotent", "plain", 2},
+                   {"/book/", "non_idempotent", "plain", 2},
+                   {"/book-once/", "non_idempotent", "plain", 1}});
+    }
+
+    std::size_t arrivals() const {
+        std::size_t n = 0;
+        for (const auto& each : backends) {
+            n += each->arrived().size();
+        }
+        return n;
+    }
+};
+
+TEST_F(at_most_once_test, booking_whose_answer_was_lost_is_not_sent_again) {
+    add_backend("s1", "plain", breaking_off());
+    add_backend("s2", "plain", breaking_off());
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("POST", "/book/", "", "b"));
+        EXPECT_EQ(502U, answer->result_int());
+        EXPECT_EQ(1U, arrivals());
+    });
+}
+
+TEST_F(at_most_once_test, booking_whose_server_failed_is_not_sent_again) {
+    const auto failing = [](backend_exchange& e) -> task<void> {
+        co_await e.answer(500, "failed");
+    };
+    add_backend("s1", "plain", failing);
+    add_backend("s2", "plain", failing);
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("POST", "/book/", "", "b"));
+        EXPECT_EQ(500U, answer->result_int());
+        EXPECT_EQ("seal", std::string((*answer)["Response-Seal"]));
+        EXPECT_EQ(1U, arrivals());
+    });
+}
+
+TEST_F(at_most_once_test, declined_booking_goes_to_the_next_server) {
+    add_backend("s1", "plain", declining());
+    add_backend("s2", "plain", always("booked"));
+    run([&]() -> task<void> {
+        for (int i = 0; i < 4; ++i) {
+            EXPECT_EQ("booked", (co_await call(request("POST", "/book/", "", "b")))->body());
+        }
+    });
+}
+
+TEST_F(at_most_once_test, booking_goes_to_no_more_servers_than_its_route_allows) {
+    add_backend("s1", "plain", declining());
+    add_backend("s2", "plain", declining());
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("POST", "/book-once/", "", "b"));
+        EXPECT_EQ(503U, answer->result_int());
+        EXPECT_EQ(1U, arrivals());
+    });
+}
+
+TEST_F(at_most_once_test, declined_everywhere_is_refused_with_a_time_to_come_back) {
+    add_backend("s1", "plain", declining());
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("POST", "/book/", "", "b"));
+        EXPECT_EQ(503U, answer->result_int());
+        EXPECT_NE("", std::string((*answer)["Retry-After"]));
+    });
+}
+
+TEST_F(at_most_once_test, lookup_whose_answer_was_lost_is_sent_again) {
+    add_backend("s1", "plain", breaking_off());
+    add_backend("s2", "plain", always("found"));
+    run([&]() -> task<void> {
+        for (int i = 0; i < 3; ++i) {
+            EXPECT_EQ("found", (co_await call(request("GET", "/read/")))->body());
+        }
+    });
+}
+
+TEST_F(at_most_once_test, lookup_that_may_have_run_is_never_said_not_to_have_run) {
+    add_backend("s1", "plain", breaking_off());
+    add_backend("s2", "plain", declining());
+    run([&]() -> task<void> {
+        for (int i = 0; i < 4; ++i) {
+            const std::size_t before = backends[0]->arrived().size();
+            const auto answer = co_await call(request("GET", "/read/"));
+            const bool may_have_run = backends[0]->arrived().size() > before;
+            EXPECT_EQ(may_have_run ? 502U : 503U, answer->result_int());
+        }
+    });
+}
+
+TEST_F(at_most_once_test, server_that_cannot_be_reached_costs_no_attempt) {
+    announce("gone", "plain", next_loopback_address(), "ready");
+    add_backend("s1", "plain", always("booked"));
+    run([&]() -> task<void> {
+        for (int i = 0; i < 4; ++i) {
+            EXPECT_EQ("booked", (co_await call(request("POST", "/book-once/", "", "b")))->body());
+        }
+    });
+}
+
+TEST_F(at_most_once_test, another_server_at_the_address_is_passed_over) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write(
+            "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
+    });
+    add_backend("s2", "plain", always("booked"));
+    run([&]() -> task<void> {
+        for (int i = 0; i < 4; ++i) {
+            EXPECT_EQ("booked", (co_await call(request("POST", "/book-once/", "", "b")))->body());
+        }
+    });
+}
+
+TEST_F(at_most_once_test, repeats_stay_within_the_retry_budget) {
+    add_backend("s1", "plain", declining());
+    add_backend("s2", "plain", declining());
+    run([&]() -> task<void> {
+        constexpr int calls = 100;
+        for (int i = 0; i < calls; ++i) {
+            co_await call(request("GET", "/read/"));
+        }
+        const double most = settings.retries.ratio * calls + settings.retries.extra;
+        EXPECT_LE(double(arrivals()) - calls, most);
+    });
+}
+
+} // namespace
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/budget_keeper_test.cpp
@@ -0,0 +1,184 @@
+/// Budgets that several routers draw on while writes are lost, late and repeated, and routers die.
+///
+/// The checker knows nothing of the keeper: it adds up what requests used, and compares with what was paid.
+
+#include "budgets/budget_keeper.h"
+#include "faulty_ledger.h"
+#include "task_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace eelgrassgw {
+namespace {
+
+using namespace std::chrono_literals;
+using keeper = budget_keeper<faulty_ledger>;
+
+constexpr tokens prepaid = 20000;
+
+std::shared_ptr<const fleet_configuration> with_prepaid(tokens amount, std::uint64_t version = 1) {
+    return fleet_configuration::builder(version).add(customer{"c", {"k"}, {}, amount}).build();
+}
+
+std::unique_ptr<keeper> make_keeper(asio::io_context& context, std::shared_ptr<shared_ledger> ledger,
+                                    const std::string& name) {
+    auto made = std::make_unique<keeper>(context, faulty_ledger(std::move(ledger)), name, allowance_policy{},
+                                         [](const char*, Json::Value) {});
+    made->use(with_prepaid(prepaid));
+    asio::co_spawn(context, made->run(), asio::detached);
+    return made;
+}
+
+class budget_keeper_test : public ::testing::Test {
+protected:
+    std::unique_ptr<keeper> start(const std::string& name) { return make_keeper(context, ledger, name); }
+
+    asio::io_context context;
+    std::shared_ptr<shared_ledger> ledger = std::make_shared<shared_ledger>();
+};
+
+TEST_F(budget_keeper_test, first_request_takes_from_the_ledger) {
+    const auto router = start("a");
+    run_task(context, [&]() -> task<void> {
+        EXPECT_EQ(reservation_verdict::reserved, co_await router->reserve("c", 500, 1000ms));
+    });
+    EXPECT_GE(ledger->stored.ledger.taken_by_all("c"), 500);
+}
+
+TEST_F(budget_keeper_test, request_beyond_the_budget_is_exhausted) {
+    const auto router = start("a");
+    run_task(context, [&]() -> task<void> {
+        EXPECT_EQ(reservation_verdict::exhausted, co_await router->reserve("c", prepaid + 1, 1000ms));
+    });
+}
+
+TEST_F(budget_keeper_test, request_without_ledger_is_unknown_not_exhausted) {
+    ledger->down = true;
+    const auto router = start("a");
+    run_task(context, [&]() -> task<void> {
+        EXPECT_EQ(reservation_verdict::unknown, co_await router->reserve("c", 500, 300ms));
+    });
+}
+
+TEST_F(budget_keeper_test, top_up_is_spendable) {
+    const auto router = start("a");
+    run_task(context, [&]() -> task<void> {
+        EXPECT_EQ(reservation_verdict::reserved, co_await router->reserve("c", prepaid, 1000ms));
+        router->use(with_prepaid(prepaid + 700, 2));
+        EXPECT_EQ(reservation_verdict::reserved, co_await router->reserve("c", 700, 1000ms));
+    });
+}
+
+TEST_F(budget_keeper_test, last_tokens_reach_the_router_that_asks) {
+    const auto a = start("a");
+    const auto b = start("b");
+    run_task(context, [&]() -> task<void> {
+        EXPECT_EQ(reservation_verdict::reserved, co_await a->reserve("c", 100, 1000ms));
+        a->settle("c", 100, 0);
+        EXPECT_TRUE(co_await a->give_back());
+        EXPECT_EQ(reservation_verdict::reserved, co_await b->reserve("c", prepaid, 1000ms));
+    });
+}
+
+TEST_F(budget_keeper_test, grant_whose_answer_was_lost_is_found_again) {
+    ledger->faults.lost = 100;
+    const auto router = start("a");
+    run_task(context, [&]() -> task<void> {
+        (void)co_await router->reserve("c", prepaid, 100ms);
+        ledger->faults.lost = 0;
+        co_await sleep_for(600ms);
+        EXPECT_EQ(reservation_verdict::reserved, co_await router->reserve("c", prepaid, 1000ms));
+    });
+}
+
+/// One fleet on one ledger, and what its requests used.
+struct schedule {
+    std::shared_ptr<shared_ledger> ledger = std::make_shared<shared_ledger>();
+    std::vector<std::shared_ptr<keeper>> dead; ///< Kept, as a paused process would be, and still asked.
+    std::vector<std::shared_ptr<keeper>> routers;
+    tokens used = 0;
+    int served = 0;
+};
+
+task<void> serve_one(asio::io_context& context, std::shared_ptr<schedule> fleet,
+                     std::shared_ptr<keeper> router) {
+    const tokens most = 50 + tokens(fleet->ledger->random() % 800);
+    if (co_await router->reserve("c", most, 200ms) != reservation_verdict::reserved) {
+        co_return;
+    }
+    co_await sleep_for(std::chrono::milliseconds(fleet->ledger->random() % 30));
+    const tokens used = tokens(fleet->ledger->random() % std::uint64_t(most + 1));
+    fleet->used += used;
+    ++fleet->served;
+    router->settle("c", most, used);
+}
+
+/// Requests at random routers; now and then a router dies with its allowance and another starts.
+task<void> play(asio::io_context& context, std::shared_ptr<schedule> fleet) {
+    constexpr int steps = 150;
+    constexpr int routers = 3;
+    for (int i = 0; i < routers; ++i) {
+        fleet->routers.push_back(make_keeper(context, fleet->ledger, "router-" + std::to_string(i)));
+    }
+    for (int i = 0; i < steps; ++i) {
+        auto& random = fleet->ledger->random;
+        auto& chosen = fleet->routers[random() % routers];
+        if (random() % 40 == 0) {
+            fleet->dead.push_back(chosen);
+            chosen = make_keeper(context, fleet->ledger, "router-again-" + std::to_string(i));
+        }
+        fleet->ledger->down = random() % 30 == 0;
+        const bool at_paused = !fleet->dead.empty() && random() % 10 == 0;
+        asio::co_spawn(context, serve_one(context, fleet, at_paused ? fleet->dead.back() : chosen),
+                       asio::detached);
+        co_await sleep_for(std::chrono::milliseconds(random() % 20));
+    }
+    fleet->ledger->down = false;
+    co_await sleep_for(800ms);
+}
+
+/// Plays many schedules at once; returns how many spent more than was paid.
+int count_overspent(unsigned first_seed, unsigned seeds, ledger_defect defect, int* served = nullptr) {
+    asio::io_context context;
+    std::vector<std::shared_ptr<schedule>> fleets;
+    for (unsigned seed = first_seed; seed < first_seed + seeds; ++seed) {
+        auto fleet = std::make_shared<schedule>();
+        fleet->ledger->random.seed(seed);
+        fleet->ledger->faults = {seed % 4 * 3, seed % 5 * 4, seed % 3 * 4, seed % 2 * 10};
+        fleet->ledger->defect = defect;
+        fleets.push_back(fleet);
+        asio::co_spawn(context, play(context, fleet), asio::detached);
+    }
+    context.run_for(std::chrono::seconds(5));
+    int overspent = 0;
+    for (const auto& fleet : fleets) {
+        overspent += fleet->used > prepaid || fleet->ledger->most_taken["c"] > prepaid ? 1 : 0;
+        if (served != nullptr) {
+            *served += fleet->served;
+        }
+    }
+    return overspent;
+}
+
+TEST(budget_schedules, no_schedule_spends_more_than_was_paid) {
+    int served = 0;
+    EXPECT_EQ(0, count_overspent(1, 300, ledger_defect::none, &served));
+    EXPECT_GT(served, 300 * 10) << "the schedules hardly served anything";
+}
+
+TEST(budget_schedules, checker_finds_writes_without_a_condition) {
+    EXPECT_GT(count_overspent(1, 60, ledger_defect::ignores_revision), 0);
+}
+
+TEST(budget_schedules, checker_finds_lost_answers_taken_for_applied) {
+    EXPECT_GT(count_overspent(1, 60, ledger_defect::lost_as_applied), 0);
+}
+
+TEST(budget_schedules, checker_finds_conflicts_taken_for_applied) {
+    EXPECT_GT(count_overspent(1, 60, ledger_defect::conflict_as_applied), 0);
+}
+
+} // namespace
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/event_splitter_test.cpp
@@ -0,0 +1,55 @@
+/// Whole events out of bytes in any pieces.
+
+#include "streams/event_splitter.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw {
+namespace {
+
+TEST(event_splitter, only_whole_events_come_out) {
+    event_splitter events;
+    EXPECT_EQ("id: 1\ndata: a\n\n", events.take("id: 1\ndata: a\n\nid: 2\nda"));
+    EXPECT_EQ("1", events.last_id());
+}
+
+TEST(event_splitter, event_that_comes_byte_by_byte_comes_out_once) {
+    event_splitter events;
+    std::string out;
+    for (const char c : std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")) {
+        out += events.take({&c, 1});
+    }
+    EXPECT_EQ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", out);
+    EXPECT_EQ(2, events.events());
+}
+
+TEST(event_splitter, lines_may_end_with_carriage_returns) {
+    event_splitter events;
+    EXPECT_EQ("id: 1\r\ndata: a\r\n\r\n", events.take("id: 1\r\ndata: a\r\n\r\nid"));
+    EXPECT_EQ("1", events.last_id());
+}
+
+TEST(event_splitter, new_run_drops_the_half_event_of_the_old_one) {
+    event_splitter events;
+    events.take("id: 1\ndata: a\n\nid: 2\ndata: half");
+    events.restart();
+    EXPECT_EQ("id: 2\ndata: b\n\n", events.take("id: 2\ndata: b\n\n"));
+}
+
+TEST(event_splitter, new_run_does_not_repeat_events) {
+    event_splitter events;
+    events.take("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    events.restart();
+    EXPECT_EQ("id: 3\ndata: c\n\n", events.take("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+    EXPECT_EQ(3, events.events());
+}
+
+TEST(event_splitter, rest_without_an_end_counts_as_an_event) {
+    event_splitter events;
+    events.take("id: 1\ndata: a");
+    EXPECT_EQ("id: 1\ndata: a", events.take_rest());
+    EXPECT_EQ(1, events.events());
+}
+
+} // namespace
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/forwarding_test.cpp
@@ -0,0 +1,221 @@
+/// Whole answers, of the request that asked for them, or none.
+
+#include "gateway_fixture.h"
+
+namespace eelgrassgw {
+namespace {
+
+using namespace std::chrono_literals;
+
+class forwarding_test : public gateway_fixture {
+protected:
+    void SetUp() override { configure({{"/read/"}, {"/book/", "non_idempotent", "plain", 1}}); }
+};
+
+TEST_F(forwarding_test, method_path_query_and_body_reach_the_server_unchanged) {
+    auto& server = add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        co_await call(request("POST", "/read/a%2Fb?x=1&y", "X-Own: kept\r\n", "the body"));
+        EXPECT_EQ(1U, server.arrived().size());
+        const text_request& got = server.arrived().at(0);
+        EXPECT_EQ(http::verb::post, got.method());
+        EXPECT_EQ("/read/a%2Fb?x=1&y", std::string(got.target()));
+        EXPECT_EQ("the body", got.body());
+        EXPECT_EQ("kept", std::string(got["X-Own"]));
+    });
+}
+
+TEST_F(forwarding_test, server_learns_the_customer_and_not_the_key) {
+    auto& server = add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        co_await call(request("GET", "/read/", "Tenant: stranger\r\nExpect-Instance: other\r\nHold: h\r\n"));
+        const text_request& got = server.arrived().at(0);
+        EXPECT_EQ("acme", std::string(got["Tenant"]));
+        EXPECT_EQ("s1", std::string(got["Expect-Instance"]));
+        EXPECT_EQ("", std::string(got["Authorization"]));
+        EXPECT_EQ("", std::string(got["Hold"]));
+    });
+}
+
+TEST_F(forwarding_test, server_gets_no_more_time_than_the_caller_gave) {
+    auto& server = add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        co_await call(request("GET", "/read/"));
+        const int ms = std::stoi(std::string(server.arrived().at(0)["Deadline-Ms"]));
+        EXPECT_LE(ms, 3000); // The route's timeout is shorter than the caller's deadline.
+        EXPECT_GT(ms, 2000);
+    });
+}
+
+TEST_F(forwarding_test, status_seal_and_body_come_back_unchanged) {
+    add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("GET", "/read/"));
+        EXPECT_TRUE(answer.has_value());
+        EXPECT_EQ(200U, answer->result_int());
+        EXPECT_EQ("seal", std::string((*answer)["Response-Seal"]));
+        EXPECT_EQ("ok", answer->body());
+    });
+}
+
+TEST_F(forwarding_test, chunked_request_arrives_whole) {
+    auto& server = add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        co_await call(request("POST", "/read/", "Transfer-Encoding: chunked\r\n") +
+                      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        EXPECT_EQ("abcde", server.arrived().at(0).body());
+    });
+}
+
+TEST_F(forwarding_test, answer_that_ends_with_its_connection_is_whole) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write(e.genuine_head(200) + "Connection: close\r\n\r\nuntil the end");
+        e.break_off(false);
+    });
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("GET", "/read/"));
+        EXPECT_TRUE(answer.has_value());
+        EXPECT_EQ("until the end", answer->body());
+    });
+}
+
+TEST_F(forwarding_test, cut_off_answer_is_a_failure_and_never_a_success) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write(e.genuine_head(200) + "Content-Length: 100\r\n\r\nonly this");
+        e.break_off(false);
+    });
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("POST", "/book/", "", "b"));
+        EXPECT_TRUE(answer.has_value());
+        EXPECT_EQ(502U, answer->result_int());
+    });
+}
+
+TEST_F(forwarding_test, unframed_answer_that_is_reset_is_not_whole) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write(e.genuine_head(200) + "Connection: close\r\n\r\nonly this");
+        co_await sleep_for(50ms);
+        e.break_off(true);
+    });
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("POST", "/book/", "", "b"));
+        EXPECT_TRUE(answer.has_value());
+        EXPECT_EQ(502U, answer->result_int());
+    });
+}
+
+TEST_F(forwarding_test, success_without_a_seal_is_not_passed_on) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + e.header("Attempt-Id") +
+                         "\r\nContent-Length: 2\r\n\r\nno");
+    });
+    run([&]() -> task<void> {
+        const auto answer = co_await call(request("POST", "/book/", "", "b"));
+        EXPECT_EQ(502U, answer->result_int());
+    });
+}
+
+TEST_F(forwarding_test, answer_with_a_coding_is_not_passed_on) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write(e.genuine_head(200) + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nzz");
+    });
+    run([&]() -> task<void> {
+        EXPECT_EQ(502U, (co_await call(request("POST", "/book/", "", "b")))->result_int());
+    });
+}
+
+TEST_F(forwarding_test, answer_to_another_request_is_passed_over) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: stranger\r\nResponse-Seal: x\r\nContent-Length: 5\r\n\r\nwrong");
+        co_await e.answer(200, "right");
+    });
+    run([&]() -> task<void> {
+        EXPECT_EQ("right", (co_await call(request("POST", "/book/", "", "b")))->body());
+    });
+}
+
+TEST_F(forwarding_test, connection_with_extra_bytes_is_not_used_again) {
+    auto& server = add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.answer(200, "ok");
+        co_await e.write(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: extra\r\nResponse-Seal: x\r\nContent-Length: 5\r\n\r\nextra");
+    });
+    run([&]() -> task<void> {
+        for (int i = 0; i < 3; ++i) {
+            EXPECT_EQ("ok", (co_await call(request("POST", "/book/", "", "b")))->body());
+            co_await sleep_for(20ms);
+        }
+        EXPECT_EQ(3, server.connections());
+    });
+}
+
+TEST_F(forwarding_test, sound_connection_to_a_server_is_used_again) {
+    auto& server = add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        for (int i = 0; i < 3; ++i) {
+            co_await call(request("GET", "/read/"));
+        }
+        EXPECT_EQ(1, server.connections());
+    });
+}
+
+TEST_F(forwarding_test, bytes_that_are_no_answer_are_a_failure) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.write("this is not HTTP\r\n\r\n");
+        e.break_off(false);
+    });
+    run([&]() -> task<void> {
+        EXPECT_EQ(502U, (co_await call(request("POST", "/book/", "", "b")))->result_int());
+    });
+}
+
+TEST_F(forwarding_test, server_may_answer_before_it_has_read_a_long_body) {
+    add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        const std::string body(90000, 'x');
+        EXPECT_EQ(200U, (co_await call(request("POST", "/book/", "", body)))->result_int());
+    });
+}
+
+TEST_F(forwarding_test, requests_on_one_connection_are_answered_in_order) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await e.answer(200, std::string(e.request().target()));
+    });
+    run([&]() -> task<void> {
+        raw_caller caller(context);
+        co_await caller.connect(settings.listen);
+        co_await caller.send(request("GET", "/read/1") + request("GET", "/read/2"));
+        EXPECT_EQ("/read/1", (co_await caller.read_answer())->body());
+        EXPECT_EQ("/read/2", (co_await caller.read_answer())->body());
+    });
+}
+
+TEST_F(forwarding_test, caller_that_leaves_frees_its_server_within_half_a_second) {
+    bool closed = false;
+    add_backend("s1", "plain",
+                [&](backend_exchange& e) -> task<void> { closed = co_await e.closed_within(500ms); });
+    run([&]() -> task<void> {
+        raw_caller caller(context);
+        co_await caller.connect(settings.listen);
+        co_await caller.send(request("GET", "/read/"));
+        co_await sleep_for(100ms);
+        caller.close();
+        co_await sleep_for(600ms);
+        EXPECT_TRUE(closed);
+    });
+}
+
+TEST_F(forwarding_test, silent_server_ends_at_the_routes_timeout) {
+    configure({{"/slow/", "idempotent", "plain", 2, 400}}, 2);
+    add_backend("s1", "plain", [](backend_exchange&) -> task<void> { co_await sleep_for(3s); });
+    run([&]() -> task<void> {
+        const auto begun = std::chrono::steady_clock::now();
+        const auto answer = co_await call(request("GET", "/slow/"));
+        EXPECT_EQ(504U, answer->result_int());
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, 900ms);
+    });
+}
+
+} // namespace
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/gateway_fixture.h
@@ -0,0 +1,195 @@
+#pragma once
+
+/// A gateway on loopback with a store stand-in and scripted backend servers.
+
+#include "gateway/gateway.h"
+#include "loopback.h"
+#include "platform/adapter.h"
+#include "platform_store_stand_in.h"
+#include "raw_caller.h"
+#include "scripted_backend.h"
+#include "task_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrassgw {
+
+/// One route of the test configuration.
+struct test_route {
+    std::string prefix;
+    std::string kind = "idempotent";
+    std::string service = "plain";
+    int max_servers = 2;
+    int timeout_ms = 3000;
+    bool carries_prompt = false;
+    bool resumable = false;
+};
+
+class gateway_fixture : public ::testing::Test {
+protected:
+    using gateway_type = gateway<platform::adapter>;
+
+    static constexpr tokens default_prepaid = 10000;
+
+    gateway_fixture() : store(context, next_loopback_address()), log(open("/dev/null", O_WRONLY), "router") {
+        settings.name = "router";
+        settings.data_centre = "dc";
+        settings.listen = next_loopback_address();
+        settings.readiness_listen = next_loopback_address();
+        settings.peer_listen = next_loopback_address();
+        settings.store = store.address();
+        settings.retries.extra = 20;
+    }
+
+    /// The configuration with all routes, as the operator would write it.
+    void configure(const std::vector<test_route>& routes, std::uint64_t version = 1,
+                   tokens prepaid = default_prepaid) {
+        Json::Value document;
+        document["version"] = Json::UInt64(version);
+        for (const test_route& each : routes) {
+            document["routes"].append(to_document(each));
+        }
+        Json::Value models;
+        models["name"] = "models";
+        models["engine"]["stride"] = 6;
+        document["services"].append(models);
+        Json::Value customer;
+        customer["name"] = "acme";
+        customer["apiKeys"].append("key-1");
+        customer["prepaid"] = Json::Int64(prepaid);
+        document["tenants"].append(customer);
+        document["limits"]["maxHeaderBytes"] = 4096;
+        document["limits"]["maxBodyBytes"] = 100000;
+        document["limits"]["headerTimeoutMs"] = 500;
+        document["limits"]["idleTimeoutMs"] = 3000;
+        store.put("config", "main", document);
+    }
+
+    /// Adds a backend server of `service`.
+    scripted_backend& add_backend(const std::string& id, const std::string& service,
+                                  scripted_backend::script_type script) {
+        backends.push_back(
+            std::make_unique<scripted_backend>(context, next_loopback_address(), std::move(script)));
+        announce(id, service, backends.back()->address(), "ready");
+        return *backends.back();
+    }
+
+    void announce(const std::string& id, const std::string& service, const std::string& address,
+                  const std::string& state) {
+        Json::Value entry;
+        entry["service"] = service;
+        entry["address"] = address;
+        entry["zone"] = "dc";
+        entry["version"] = "v1";
+        entry["slots"] = 8;
+        entry["state"] = state;
+        entry["sequence"] = 1;
+        store.put("servers", id, entry);
+    }
+
+    /// Starts the gateway and runs `body` once it is ready.
+    void run(std::function<task<void>()> body) {
+        router = std::make_unique<gateway_type>(context, settings, log, metrics);
+        const auto started = router->start();
+        ASSERT_TRUE(started.ok()) << started.error().text();
+        run_task(context, [this, body]() -> task<void> {
+            co_await until_ready();
+            co_await body();
+        });
+    }
+
+    task<void> until_ready() {
+        for (int i = 0; i < 400; ++i) {
+            if (co_await readiness() == 200) {
+                co_return;
+            }
+            co_await sleep_for(std::chrono::milliseconds(10));
+        }
+        ADD_FAILURE() << "the gateway did not become ready";
+    }
+
+    task<unsigned> readiness() {
+        raw_caller caller(context);
+        co_await caller.connect(settings.readiness_listen);
+        co_await caller.send("GET /-/readyz HTTP/1.1\r\nHost: r\r\n\r\n");
+        const auto answer = co_await caller.read_answer();
+        co_return answer ? answer->result_int() : 0;
+    }
+
+    /// A request's bytes. `headers` are further lines, each with its line end.
+    static std::string request(const std::string& method, const std::string& target,
+                               const std::string& headers = "", const std::string& body = "") {
+        static int n = 0;
+        return method + " " + target + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-" +
+               std::to_string(++n) + "\r\nDeadline-Ms: 5000\r\nAuthorization: Bearer key-1\r\n" + headers +
+               (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" +
+               body;
+    }
+
+    /// Sends one request on a connection of its own and returns its answer.
+    task<std::optional<text_reply>> call(std::string bytes) {
+        raw_caller caller(context);
+        co_await caller.connect(settings.listen);
+        co_await caller.send(bytes);
+        co_return co_await caller.read_answer();
+    }
+
+    /// What all routers have taken from the customer's budget, by the store.
+    tokens taken() const { return store.spec("eelgrass-budgets", "all")["taken"]["acme"].asInt64(); }
+
+    asio::io_context context;
+    platform_store_stand_in store;
+    event_log log;
+    metrics_registry metrics;
+    gateway_settings settings;
+    std::vector<std::unique_ptr<scripted_backend>> backends;
+    std::unique_ptr<gateway_type> router;
+
+private:
+    static Json::Value to_document(const test_route& each) {
+        Json::Value route;
+        route["name"] = "route " + each.prefix;
+        route["hostname"] = "a.example";
+        route["pathPrefix"] = each.prefix;
+        route["kind"] = each.kind;
+        route["service"] = each.service;
+        route["maxAttempts"] = each.max_servers;
+        route["timeoutMs"] = each.timeout_ms;
+        route["targetLatencyMs"] = 400;
+        route["priority"] = 1;
+        route["public"] = false;
+        route["sticky"] = each.carries_prompt;
+        route["resumable"] = each.resumable;
+        return route;
+    }
+};
+
+/// A script that answers each request with 200 and `body`.
+inline scripted_backend::script_type always(std::string body) {
+    return [body](backend_exchange& e) -> task<void> {
+        co_await e.answer(200, body);
+    };
+}
+
+/// A script that declines each request.
+inline scripted_backend::script_type declining() {
+    return [](backend_exchange& e) -> task<void> {
+        co_await e.decline();
+    };
+}
+
+/// A script that takes each request and breaks the connection off without an answer.
+inline scripted_backend::script_type breaking_off() {
+    return [](backend_exchange& e) -> task<void> {
+        e.break_off(true);
+        co_return;
+    };
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/platform_store_stand_in.cpp
@@ -0,0 +1,167 @@
+#include "platform_store_stand_in.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::hours for_ever{1};
+
+text_reply json_reply(http::status status, const Json::Value& body) {
+    return make_reply(status, "application/json", to_text(body));
+}
+
+std::string query_value(const std::string& query, const std::string& name) {
+    const std::size_t at = ("&" + query).find("&" + name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::string rest = query.substr(at + name.size() + 1);
+    return rest.substr(0, rest.find('&'));
+}
+
+std::uint64_t number(const std::string& text) {
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+} // namespace
+
+platform_store_stand_in::platform_store_stand_in(asio::io_context& context, std::string address)
+    : address_(std::move(address)) {
+    const auto started =
+        http_service::start(context, address_, [this](text_request r) { return answer(std::move(r)); });
+    EXPECT_TRUE(started.ok()) << (started ? "" : started.error().text());
+}
+
+void platform_store_stand_in::put(const std::string& kind, const std::string& name, const Json::Value& spec) {
+    store(kind, name, spec);
+}
+
+void platform_store_stand_in::remove(const std::string& kind, const std::string& name) {
+    Json::Value object = kinds_[kind][name];
+    object["metadata"]["revision"] = Json::UInt64(++revision_);
+    kinds_[kind].erase(name);
+    events_.push_back({revision_, kind, object, true});
+}
+
+Json::Value platform_store_stand_in::spec(const std::string& kind, const std::string& name) const {
+    const auto of_kind = kinds_.find(kind);
+    if (of_kind == kinds_.end() || !of_kind->second.contains(name)) {
+        return {};
+    }
+    return of_kind->second.at(name)["spec"];
+}
+
+Json::Value platform_store_stand_in::store(const std::string& kind, const std::string& name,
+                                           const Json::Value& spec) {
+    Json::Value object;
+    object["metadata"]["name"] = name;
+    object["metadata"]["revision"] = Json::UInt64(++revision_);
+    object["spec"] = spec;
+    kinds_[kind][name] = object;
+    events_.push_back({revision_, kind, object, false});
+    return object;
+}
+
+task<text_reply> platform_store_stand_in::answer(text_request request) {
+    ++calls;
+    if (silent) {
+        co_await sleep_for(for_ever);
+    }
+    if (busy) {
+        co_return make_reply(http::status::service_unavailable, "text/plain", "");
+    }
+    const std::string target(request.target());
+    const std::size_t question = target.find('?');
+    const std::string path = target.substr(0, question);
+    const std::string query = question == std::string::npos ? "" : target.substr(question + 1);
+    const std::string rest = path.substr(std::string("/-/objects/").size());
+    const std::string kind = rest.substr(0, rest.find('/'));
+    const std::string name = rest == kind ? "" : rest.substr(kind.size() + 1);
+    if (request.method() != http::verb::get) {
+        const Json::Value object = parse_json(request.body()).value();
+        const bool create = request.method() == http::verb::post;
+        const std::string named = string_member(member(object, "metadata"), "name");
+        text_reply written = write(kind, create ? named : name, object, create);
+        if (lose_next_write_answers > 0) {
+            --lose_next_write_answers;
+            co_await sleep_for(for_ever);
+        }
+        co_return written;
+    }
+    if (!name.empty()) {
+        co_return read(kind, name);
+    }
+    const std::string since = query_value(query, "watch");
+    if (!since.empty()) {
+        const std::chrono::milliseconds wait(number(query_value(query, "waitMs")));
+        co_return co_await watch(kind, number(since), wait);
+    }
+    co_return list(kind, query_value(query, "after"));
+}
+
+task<text_reply> platform_store_stand_in::watch(std::string kind, std::uint64_t since,
+                                                std::chrono::milliseconds wait) {
+    if (std::exchange(history_gone, false)) {
+        co_return make_reply(http::status::gone, "text/plain", "");
+    }
+    const auto until = std::chrono::steady_clock::now() + wait;
+    Json::Value body;
+    body["events"] = Json::Value(Json::arrayValue);
+    while (body["events"].empty() && std::chrono::steady_clock::now() < until) {
+        for (const event& each : events_) {
+            if (each.kind == kind && each.revision > since) {
+                Json::Value told;
+                told["object"] = each.object;
+                told["deleted"] = each.deleted;
+                body["events"].append(told);
+            }
+        }
+        co_await sleep_for(5ms);
+    }
+    body["at"] = Json::UInt64(revision_);
+    co_return json_reply(http::status::ok, body);
+}
+
+text_reply platform_store_stand_in::list(const std::string& kind, const std::string& after) const {
+    Json::Value body;
+    body["items"] = Json::Value(Json::arrayValue);
+    body["hasMore"] = false;
+    body["at"] = Json::UInt64(revision_);
+    const auto of_kind = kinds_.find(kind);
+    if (of_kind != kinds_.end()) {
+        for (auto it = of_kind->second.upper_bound(after); it != of_kind->second.end(); ++it) {
+            if (body["items"].size() == page_size) {
+                body["hasMore"] = true;
+                break;
+            }
+            body["items"].append(it->second);
+        }
+    }
+    return json_reply(http::status::ok, body);
+}
+
+text_reply platform_store_stand_in::read(const std::string& kind, const std::string& name) const {
+    const auto of_kind = kinds_.find(kind);
+    if (of_kind == kinds_.end() || !of_kind->second.contains(name)) {
+        return make_reply(http::status::not_found, "text/plain", "");
+    }
+    return json_reply(http::status::ok, of_kind->second.at(name));
+}
+
+text_reply platform_store_stand_in::write(const std::string& kind, const std::string& name,
+                                          const Json::Value& object, bool create) {
+    const bool exists = kinds_[kind].contains(name);
+    const auto wanted = std::uint64_t(int_member(member(object, "metadata"), "revision"));
+    const std::uint64_t has = exists ? kinds_[kind][name]["metadata"]["revision"].asUInt64() : 0;
+    if (create ? exists : wanted != has) {
+        return exists ? json_reply(http::status::conflict, kinds_[kind][name])
+                      : make_reply(http::status::not_found, "text/plain", "");
+    }
+    return json_reply(create ? http::status::created : http::status::ok, store(kind, name, object["spec"]));
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/raw_caller.h
@@ -0,0 +1,66 @@
+#pragma once
+
+/// A caller that sends bytes as a test writes them and sees what comes back.
+
+#include "net/address.h"
+#include "net/socket_deadline.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <optional>
+#include <string>
+
+namespace eelgrassgw {
+
+/// One connection. Not thread-safe.
+class raw_caller {
+public:
+    explicit raw_caller(asio::io_context& context) : socket_(context) {}
+
+    task<void> connect(std::string address) {
+        net_error ec;
+        co_await socket_.async_connect(parse_address(address).value(), with_error(ec));
+    }
+
+    task<void> send(std::string bytes) {
+        net_error ec;
+        co_await asio::async_write(socket_, asio::buffer(bytes), with_error(ec));
+    }
+
+    /// The next whole answer; nothing where the connection ended before it was complete.
+    task<std::optional<text_reply>> read_answer(std::chrono::milliseconds limit = std::chrono::seconds(5)) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(64U << 20U);
+        net_error ec;
+        const socket_deadline deadline(socket_, limit);
+        co_await http::async_read(socket_, buffer_, parser, with_error(ec));
+        if (ec) {
+            co_return std::nullopt;
+        }
+        co_return parser.release();
+    }
+
+    /// All bytes until the connection ends or the time is up.
+    task<std::string> read_to_end(std::chrono::milliseconds limit = std::chrono::seconds(5)) {
+        std::string bytes;
+        net_error ec;
+        const socket_deadline deadline(socket_, limit);
+        co_await asio::async_read(socket_, asio::dynamic_buffer(bytes), with_error(ec));
+        co_return bytes;
+    }
+
+    void close() {
+        net_error ignored;
+        socket_.close(ignored);
+    }
+
+private:
+    tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+};
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/scripted_backend.h
@@ -0,0 +1,148 @@
+#pragma once
+
+/// A backend server whose answers a test writes byte by byte.
+
+#include "net/http_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace eelgrassgw {
+
+/// One request as the server got it, and the connection to answer on.
+class backend_exchange {
+public:
+    backend_exchange(tcp::socket& socket, text_request request)
+        : socket_(socket), request_(std::move(request)) {}
+
+    const text_request& request() const { return request_; }
+    std::string header(const std::string& name) const { return std::string(request_[name]); }
+
+    /// Writes bytes as they are.
+    task<void> write(std::string bytes) {
+        net_error ec;
+        co_await asio::async_write(socket_, asio::buffer(bytes), with_error(ec));
+    }
+
+    /// Writes a genuine answer with this status and body.
+    task<void> answer(int status, std::string body) {
+        std::string head =
+            genuine_head(status) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        co_await write(head + body);
+    }
+
+    /// Writes the head of a stream whose pieces follow with `piece` and `end`.
+    task<void> start_stream() {
+        co_await write(genuine_head(200) +
+                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+    task<void> piece(std::string bytes) {
+        std::array<char, 16> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+        co_await write(size.data() + bytes + "\r\n");
+    }
+    task<void> end() { co_await write("0\r\n\r\n"); }
+
+    /// States that the request was not run.
+    task<void> decline() {
+        co_await write("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    /// Breaks the connection off; `reset` makes the other side see a reset.
+    void break_off(bool reset) {
+        net_error ignored;
+        if (reset) {
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        socket_.close(ignored);
+    }
+
+    /// Whether the caller of the server closed the connection within `limit`.
+    task<bool> closed_within(std::chrono::milliseconds limit) {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < until) {
+            net_error ec;
+            char byte = 0;
+            socket_.non_blocking(true, ec);
+            socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+            if (ec && ec != asio::error::would_block) {
+                co_return true;
+            }
+            co_await sleep_for(std::chrono::milliseconds(5));
+        }
+        co_return false;
+    }
+
+    /// The first lines of a genuine answer to this request.
+    std::string genuine_head(int status) const {
+        return "HTTP/1.1 " + std::to_string(status) + " Status\r\nAttempt-Id: " + header("Attempt-Id") +
+               "\r\nResponse-Seal: seal\r\n";
+    }
+
+private:
+    tcp::socket& socket_;
+    text_request request_;
+};
+
+/// Serves each request by `script`. Not thread-safe.
+class scripted_backend {
+public:
+    using script_type = std::function<task<void>(backend_exchange&)>;
+
+    scripted_backend(asio::io_context& context, std::string address, script_type script)
+        : address_(std::move(address)), script_(std::make_shared<script_type>(std::move(script))) {
+        auto acceptor = listen_on(context, address_);
+        EXPECT_TRUE(acceptor.ok());
+        asio::co_spawn(context, accept(std::move(acceptor.value())), asio::detached);
+    }
+
+    const std::string& address() const { return address_; }
+
+    /// Requests that arrived, whatever became of them.
+    const std::vector<text_request>& arrived() const { return *arrived_; }
+    int connections() const { return *connections_; }
+
+private:
+    task<void> accept(tcp::acceptor acceptor) {
+        for (;;) {
+            net_error ec;
+            tcp::socket socket = co_await acceptor.async_accept(with_error(ec));
+            ++*connections_;
+            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket), script_, arrived_),
+                           asio::detached);
+        }
+    }
+
+    static task<void> serve(tcp::socket socket, std::shared_ptr<script_type> script,
+                            std::shared_ptr<std::vector<text_request>> arrived) {
+        boost::beast::flat_buffer buffer;
+        net_error ec;
+        while (!ec && socket.is_open()) {
+            text_request request;
+            co_await http::async_read(socket, buffer, request, with_error(ec));
+            if (ec) {
+                break;
+            }
+            arrived->push_back(request);
+            backend_exchange current(socket, request);
+            co_await (*script)(current);
+        }
+    }
+
+    std::string address_;
+    std::shared_ptr<script_type> script_;
+    std::shared_ptr<std::vector<text_request>> arrived_ = std::make_shared<std::vector<text_request>>();
+    std::shared_ptr<int> connections_ = std::make_shared<int>(0);
+};
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/stop_test.cpp
@@ -0,0 +1,55 @@
+/// A planned stop cuts nothing off.
+
+#include "gateway_fixture.h"
+
+namespace eelgrassgw {
+namespace {
+
+using namespace std::chrono_literals;
+
+class stop_test : public gateway_fixture {
+protected:
+    void SetUp() override { configure({{"/read/", "idempotent", "plain", 2, 6000}}); }
+};
+
+TEST_F(stop_test, stopping_router_is_not_ready_at_once_and_still_serves) {
+    add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        asio::co_spawn(context, router->stop(), asio::detached);
+        co_await sleep_for(50ms);
+        EXPECT_EQ(503U, co_await readiness());
+        EXPECT_EQ(200U, (co_await call(request("GET", "/read/")))->result_int());
+    });
+}
+
+TEST_F(stop_test, running_request_is_finished) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await sleep_for(4s);
+        co_await e.answer(200, "late and whole");
+    });
+    run([&]() -> task<void> {
+        raw_caller caller(context);
+        co_await caller.connect(settings.listen);
+        co_await caller.send(request("GET", "/read/"));
+        co_await sleep_for(50ms);
+        co_await router->stop();
+        EXPECT_EQ("late and whole", (co_await caller.read_answer())->body());
+    });
+}
+
+TEST_F(stop_test, idle_connections_are_closed) {
+    add_backend("s1", "plain", always("ok"));
+    run([&]() -> task<void> {
+        raw_caller caller(context);
+        co_await caller.connect(settings.listen);
+        co_await caller.send(request("GET", "/read/"));
+        co_await caller.read_answer();
+        const auto begun = std::chrono::steady_clock::now();
+        co_await router->stop();
+        co_await caller.read_to_end(2s);
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, 4s);
+    });
+}
+
+} // namespace
+} // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/task_runner.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// Runs tasks in tests, with a limit.
+
+#include "net/task.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include <exception>
+#include <functional>
+
+namespace eelgrassgw {
+
+/// Runs `body` on `context` until it ends; fails the test where that takes longer than `limit`.
+inline void run_task(asio::io_context& context, std::function<task<void>()> body,
+                     std::chrono::seconds limit = std::chrono::seconds(20)) {
+    bool ended = false;
+    asio::co_spawn(context, body(), [&](std::exception_ptr error) {
+        ended = true;
+        context.stop();
+        if (error) {
+            std::rethrow_exception(error);
+        }
+    });
+    context.restart();
+    context.run_for(limit);
+    EXPECT_TRUE(ended) << "the task did not end within " << limit.count() << " s";
+}
+
+} // namespace eelgrassgw
