--- a/src/backends/backend_directory.cpp
+++ b/src/backends/backend_directory.cpp
@@ -4,6 +4,14 @@
 
 namespace eelgrassgw {
 
+std::int64_t tracked_backend::known_unread_tokens(clock::time_point now) const {
+    std::int64_t n = unread_tokens;
+    for (const auto& [key, prompt] : foreign_prompts) {
+        n += prompt.forget_at > now ? prompt.tokens : 0;
+    }
+    return n;
+}
+
 void backend_directory::replace_all(const std::vector<entry>& listed, bool after_outage,
                                     clock::time_point now) {
     std::set<std::string> present;
@@ -66,6 +74,11 @@
     return over.size();
 }
 
+std::shared_ptr<tracked_backend> backend_directory::find(const std::string& id) const {
+    const auto it = by_id_.find(id);
+    return it == by_id_.end() ? nullptr : it->second;
+}
+
 std::vector<std::shared_ptr<tracked_backend>> backend_directory::ready_in(const std::string& service) const {
     std::vector<std::shared_ptr<tracked_backend>> ready;
     for (const auto& [id, tracked] : by_id_) {
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -21,11 +21,21 @@
     backend_server server;
     std::uint64_t revision = 0;        ///< Of the entry that `server` was read from.
     int running = 0;                   ///< Requests that this process has there now.
-    std::int64_t prompt_tokens = 0;    ///< Of those whose first event has not come yet.
+    std::int64_t unread_tokens = 0;    ///< Prompt tokens of those whose first event has not come yet.
     clock::time_point avoid_until{};   ///< Chosen before then only where there is no other.
     clock::time_point missing_since{}; ///< When its entry vanished while the list was not readable.
     bool removed = false;              ///< No longer in the directory.
 
+    /// A long prompt that another router has sent there.
+    struct foreign_prompt {
+        std::int64_t tokens = 0;
+        clock::time_point forget_at{}; ///< For the case that its end is never told.
+    };
+    std::map<std::string, foreign_prompt> foreign_prompts; ///< By router and number.
+
+    /// Prompt tokens that this server has yet to read, as far as this process knows.
+    std::int64_t known_unread_tokens(clock::time_point now) const;
+
     bool missing() const { return missing_since != clock::time_point{}; }
 };
 
@@ -56,6 +66,9 @@
     /// Removes lapsed entries whose grace is over. Returns how many.
     std::size_t drop_lapsed(clock::time_point now);
 
+    /// The server `id`, or null.
+    std::shared_ptr<tracked_backend> find(const std::string& id) const;
+
     /// The servers of a service that may get new work.
     std::vector<std::shared_ptr<tracked_backend>> ready_in(const std::string& service) const;
 
--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -8,12 +8,14 @@
 #include "net/task.h"
 #include "routes/fleet_configuration.h"
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace eelgrassgw {
 
@@ -49,6 +51,12 @@
     unknown,   ///< The allowance is too small, and the ledger could not be asked in time.
 };
 
+/// How a router appears to the others in the ledger.
+struct ledger_identity {
+    std::string router;         ///< Its incarnation.
+    std::string notice_address; ///< Where it takes datagrams of other routers; may be empty.
+};
+
 /// What a decision about a budget was based on, for logs.
 struct budget_view {
     std::uint64_t ledger_revision = 0;
@@ -74,9 +82,9 @@
         10000};                              ///< Routers that wrote then count as there.
     static constexpr int most_conflicts = 8; ///< In one round.
 
-    budget_keeper(asio::io_context& context, Store store, std::string router, const allowance_policy& policy,
-                  event_sink_function log)
-        : context_(context), store_(std::move(store)), router_(std::move(router)), allowances_(policy),
+    budget_keeper(asio::io_context& context, Store store, ledger_identity self,
+                  const allowance_policy& policy, event_sink_function log)
+        : context_(context), store_(std::move(store)), self_(std::move(self)), allowances_(policy),
           log_(std::move(log)), wake_(context, clock::time_point::max()) {}
 
     /// The newest configuration, which states what is prepaid.
@@ -106,7 +114,12 @@
     budget_view view(const std::string& customer) const;
 
     /// Routers that lately wrote to the ledger, at least 1.
-    int routers() const { return known_.ledger.routers_seen(presence_window); }
+    int routers() const {
+        return std::max(1, static_cast<int>(known_.ledger.recent_writers(presence_window).size()));
+    }
+
+    /// Where those of them that are not this one take datagrams.
+    std::vector<std::string> other_routers() const;
 
 private:
     struct waiting_request {
@@ -145,7 +158,7 @@
 
     asio::io_context& context_;
     Store store_;
-    std::string router_;
+    ledger_identity self_;
     allowance_table allowances_;
     event_sink_function log_;
     std::shared_ptr<const fleet_configuration> configuration_;
@@ -279,11 +292,11 @@
     const std::uint64_t sequence = ++sequence_;
     const auto unix_time = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
-    next.note_write(router_, sequence, unix_time);
+    next.note_write(self_.router, {sequence, unix_time.count(), self_.notice_address});
     withdraw_returns(changes);
     ledger_write written = co_await store_.write(next, known_.revision);
-    const bool found =
-        written.how == ledger_write::outcome::conflict && written.now.ledger.has_write(router_, sequence);
+    const bool found = written.how == ledger_write::outcome::conflict &&
+                       written.now.ledger.has_write(self_.router, sequence);
     if (found) {
         written.how = ledger_write::outcome::applied; // An earlier copy of this very write was first.
     }
@@ -306,7 +319,7 @@
 /// Accepts a version of the ledger, and learns from it what became of an open write.
 template <ledger_store Store>
 void budget_keeper<Store>::take_in(const versioned_ledger& now) {
-    if (open_.has_value() && now.ledger.has_write(router_, open_->sequence)) {
+    if (open_.has_value() && now.ledger.has_write(self_.router, open_->sequence)) {
         credit(open_->changes);
         open_.reset();
     }
@@ -410,6 +423,17 @@
     co_return configuration_ == nullptr || co_await round();
 }
 
+template <ledger_store Store>
+std::vector<std::string> budget_keeper<Store>::other_routers() const {
+    std::vector<std::string> addresses;
+    for (const auto& [router, writer] : known_.ledger.recent_writers(presence_window)) {
+        if (router != self_.router && !writer.address.empty()) {
+            addresses.push_back(writer.address);
+        }
+    }
+    return addresses;
+}
+
 template <ledger_store Store>
 budget_view budget_keeper<Store>::view(const std::string& customer) const {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - known_at_);
--- a/src/budgets/budget_ledger.cpp
+++ b/src/budgets/budget_ledger.cpp
@@ -30,9 +30,8 @@
     return it != writers.end() && it->second.sequence >= sequence;
 }
 
-void budget_ledger::note_write(const std::string& router, std::uint64_t sequence,
-                               std::chrono::milliseconds unix_time) {
-    writers[router] = {sequence, unix_time.count()};
+void budget_ledger::note_write(const std::string& router, const writer& last) {
+    writers[router] = last;
     const std::chrono::milliseconds retention = writer_retention;
     const std::int64_t oldest = newest_write(*this) - retention.count();
     std::erase_if(writers, [&](const auto& each) {
@@ -40,11 +39,12 @@
     });
 }
 
-int budget_ledger::routers_seen(std::chrono::milliseconds recent) const {
+std::map<std::string, budget_ledger::writer>
+budget_ledger::recent_writers(std::chrono::milliseconds recent) const {
+    std::map<std::string, writer> found = writers;
     const std::int64_t oldest = newest_write(*this) - recent.count();
-    const auto n = std::count_if(writers.begin(), writers.end(),
-                                 [&](const auto& each) { return each.second.written_at_ms >= oldest; });
-    return std::max(1, static_cast<int>(n));
+    std::erase_if(found, [&](const auto& each) { return each.second.written_at_ms < oldest; });
+    return found;
 }
 
 Json::Value to_json(const budget_ledger& ledger) {
@@ -57,6 +57,7 @@
     for (const auto& [router, writer] : ledger.writers) {
         writers[router]["sequence"] = Json::UInt64(writer.sequence);
         writers[router]["written_at_ms"] = Json::Int64(writer.written_at_ms);
+        writers[router]["address"] = writer.address;
     }
     return document;
 }
@@ -76,7 +77,7 @@
     for (const std::string& router : document["writers"].getMemberNames()) {
         const Json::Value& writer = document["writers"][router];
         ledger.writers[router] = {std::uint64_t(int_member(writer, "sequence")),
-                                  int_member(writer, "written_at_ms")};
+                                  int_member(writer, "written_at_ms"), string_member(writer, "address")};
     }
     return ledger;
 }
--- a/src/budgets/budget_ledger.h
+++ b/src/budgets/budget_ledger.h
@@ -18,6 +18,7 @@
     struct writer {
         std::uint64_t sequence = 0;
         std::int64_t written_at_ms = 0; ///< Unix time by the writer's clock. Only counts and clean-up use it.
+        std::string address;            ///< Where the router takes datagrams of others; may be empty.
     };
 
     std::map<std::string, tokens> taken;   ///< By customer.
@@ -29,10 +30,10 @@
     bool has_write(const std::string& router, std::uint64_t sequence) const;
 
     /// Records a write, and forgets routers that have not written for `writer_retention`.
-    void note_write(const std::string& router, std::uint64_t sequence, std::chrono::milliseconds unix_time);
+    void note_write(const std::string& router, const writer& last);
 
-    /// Routers that wrote in the `recent` time before the newest write, at least 1.
-    int routers_seen(std::chrono::milliseconds recent) const;
+    /// Routers that wrote in the `recent` time before the newest write, by incarnation.
+    std::map<std::string, writer> recent_writers(std::chrono::milliseconds recent) const;
 
     static constexpr std::chrono::minutes writer_retention{10};
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -82,7 +82,7 @@
     task<attempt_end> exchange_on(std::shared_ptr<tracked_backend> server, connection& to);
     task<attempt_end> pass_answer(tracked_backend& server, connection& to, backend_reply& reply,
                                   answer_kind kind);
-    task<attempt_end> pass_stream(tracked_backend& server, backend_reply& reply);
+    task<attempt_end> pass_stream(backend_reply& reply);
     task<attempt_end> pass_body(backend_reply& reply, answer_kind kind);
     task<void> conclude(attempt_end last);
     refusal last_refusal(attempt_end last) const;
@@ -92,6 +92,7 @@
     void avoid(tracked_backend& server, milliseconds rest) { server.avoid_until = clock::now() + rest; }
     void settle();
     void log_end();
+    milliseconds elapsed() const { return std::chrono::duration_cast<milliseconds>(clock::now() - started_); }
     milliseconds left() const { return std::chrono::ceil<milliseconds>(ends_at_ - clock::now()); }
     bool is_stream() const { return route_ != nullptr && route_->kind == request_kind::stream; }
 
@@ -114,8 +115,11 @@
     int sent_ = 0; ///< Backend servers that were sent the request.
     bool may_have_run_ = false;
     std::optional<text_reply> held_failure_; ///< A server's own failure, passed on if nothing better comes.
+    std::optional<unread_prompt> unread_;    ///< Of the current attempt.
     event_splitter events_;
-    Json::Value attempts_{Json::arrayValue}; ///< For the log.
+    milliseconds budget_known_after_{0}; ///< For the log, as are the next two.
+    std::optional<milliseconds> first_event_after_;
+    Json::Value attempts_{Json::arrayValue};
     std::string outcome_ = "answered";
     std::string error_;
 };
@@ -200,6 +204,7 @@
     const tokens amount = terms_.prompt->most_tokens();
     const milliseconds patience = std::min(route_->latency_objective, left() / 4);
     const reservation_verdict verdict = co_await core_.budgets.reserve(customer_->name, amount, patience);
+    budget_known_after_ = elapsed();
     if (verdict == reservation_verdict::reserved) {
         reserved_ = amount;
         co_return std::nullopt;
@@ -266,7 +271,7 @@
     wanted.random = random_below(1U << 30U);
     if (terms_.prompt) {
         wanted.shared_prompt_part = terms_.prompt->shared_part;
-        wanted.prompt_tokens = terms_.prompt->prompt_tokens;
+        wanted.shared_tokens = terms_.prompt->shared_tokens;
     }
     return choose_backend_server(core_.directory.ready_in(service_), wanted, clock::now());
 }
@@ -284,9 +289,8 @@
         co_return attempt_end::ended;
     }
     const std::unique_ptr<connection> to = std::move(opened.value());
-    const tokens prompt_tokens = terms_.prompt ? terms_.prompt->prompt_tokens : 0;
     ++server->running;
-    server->prompt_tokens += prompt_tokens;
+    unread_.emplace(core_.notices, server, terms_.prompt ? terms_.prompt->own_tokens() : 0);
     control_.attach(to->socket);
     const bool ran_before = may_have_run_;
     may_have_run_ = true;
@@ -294,7 +298,7 @@
     const attempt_end end = co_await exchange_on(server, *to);
     control_.detach();
     --server->running;
-    server->prompt_tokens -= prompt_tokens;
+    unread_.reset();
     if (end == attempt_end::not_run || end == attempt_end::wrong_server) {
         may_have_run_ = ran_before;
     }
@@ -331,7 +335,7 @@
                                               answer_kind kind) {
     attempt_end end = attempt_end::unusable;
     if (kind == answer_kind::success && is_stream()) {
-        end = co_await pass_stream(server, reply);
+        end = co_await pass_stream(reply);
     } else {
         end = co_await pass_body(reply, kind);
     }
@@ -356,7 +360,7 @@
 
 /// Passes whole events on as they come.
 template <class Core>
-task<attempt_end> exchange<Core>::pass_stream(tracked_backend& server, backend_reply& reply) {
+task<attempt_end> exchange<Core>::pass_stream(backend_reply& reply) {
     if (!answer_.started()) {
         answer_head head;
         head.base() = core_.protocol.to_caller(reply.head());
@@ -367,8 +371,6 @@
     } else {
         events_.restart();
     }
-    const tokens prompt_tokens = terms_.prompt ? terms_.prompt->prompt_tokens : 0;
-    bool first = true;
     for (;;) {
         std::string bytes;
         const auto state = co_await reply.read_piece(bytes);
@@ -376,15 +378,14 @@
         if (state == backend_reply::body_state::complete) {
             whole += events_.take_rest();
         }
-        if (first && !whole.empty()) {
-            first = false;
-            server.prompt_tokens -= prompt_tokens;
+        if (!whole.empty()) {
+            first_event_after_ = first_event_after_.value_or(elapsed());
+            unread_->note_read();
         }
         if (!co_await answer_.send_piece(std::move(whole))) {
             control_.note_caller_left();
         }
         if (control_.ended() || state != backend_reply::body_state::more) {
-            server.prompt_tokens += first ? 0 : prompt_tokens; // The attempt's own end takes them off.
             error_ = state == backend_reply::body_state::broken ? reply.error() : "";
             const bool complete = state == backend_reply::body_state::complete && !control_.caller_left();
             if (complete) {
@@ -521,10 +522,12 @@
     fields["request"] = terms_.id;
     fields["outcome"] = outcome_;
     fields["status"] = answer_.status();
-    fields["took_ms"] =
-        Json::Int64(std::chrono::duration_cast<milliseconds>(clock::now() - started_).count());
+    fields["took_ms"] = Json::Int64(elapsed().count());
     fields["configuration"] = Json::UInt64(configuration_ == nullptr ? 0 : configuration_->version());
     fields["route"] = route_ == nullptr ? "" : route_->name;
+    if (first_event_after_) {
+        fields["first_event_ms"] = Json::Int64(first_event_after_->count());
+    }
     if (!error_.empty()) {
         fields["error"] = error_;
     }
@@ -537,6 +540,7 @@
     if (customer_ != nullptr && route_->carries_prompt) {
         const budget_view budget = core_.budgets.view(customer_->name);
         fields["reserved"] = Json::Int64(reserved_);
+        fields["budget_known_ms"] = Json::Int64(budget_known_after_.count());
         fields["used"] = Json::Int64(used_);
         fields["events"] = Json::Int64(events_.events());
         fields["ledger"] = Json::UInt64(budget.ledger_revision);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,9 +55,10 @@
     gateway(asio::io_context& context, gateway_settings settings, event_log& log, metrics_registry& metrics)
         : context_(context), settings_(std::move(settings)), log_(log), metrics_(metrics),
           control_pool_(context), paths_(control_pool_, settings_.store, sink()), objects_(paths_),
-          budgets_(context, typename Platform::budgets(paths_), settings_.name + "/" + random_id(),
+          incarnation_(settings_.name + "/" + random_id()),
+          budgets_(context, typename Platform::budgets(paths_), {incarnation_, settings_.notice_listen},
                    settings_.allowances, sink()),
-          core_(context, budgets_, log, metrics, settings_.retries) {}
+          core_(context, budgets_, log, metrics, settings_.retries, incarnation_) {}
 
     /// Starts to listen and to follow the store. Fails where an address cannot be bound.
     result<done> start();
@@ -103,6 +104,7 @@
     connection_pool control_pool_; ///< To the store, relays and peers.
     store_paths paths_;
     typename Platform::objects objects_;
+    std::string incarnation_; ///< Names this start of the process.
     budget_keeper_type budgets_;
     core core_;
     std::optional<tcp::acceptor> acceptor_;
@@ -145,6 +147,9 @@
         started = http_service::start(context_, settings_.peer_listen,
                                       [this](text_request r) { return answer_peer(std::move(r)); });
     }
+    if (started && !settings_.notice_listen.empty()) {
+        started = core_.notices.start(settings_.notice_listen);
+    }
     if (started && !settings_.metrics_listen.empty()) {
         started = serve_metrics(context_, settings_.metrics_listen, metrics_);
     }
@@ -206,6 +211,7 @@
             log_.write("backend_servers_lapsed", std::move(fields));
         }
         core_.retries.set_routers(budgets_.routers());
+        core_.notices.set_peers(budgets_.other_routers());
         core_.pool.close_stale();
         control_pool_.close_stale();
         metrics_.set("requests_running", core_.running);
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -7,6 +7,7 @@
 #include "eelgrassgw/metrics/metrics.h"
 #include "gateway/request_terms.h"
 #include "net/connection_pool.h"
+#include "placing/prompt_notices.h"
 #include "retries/retry_budget.h"
 #include "routes/fleet_configuration.h"
 
@@ -34,8 +35,9 @@
 template <caller_protocol Protocol, class Budgets>
 struct gateway_core {
     gateway_core(asio::io_context& io, Budgets& keeper, event_log& events, metrics_registry& registry,
-                 const retry_limits& limits)
-        : context(io), budgets(keeper), log(events), metrics(registry), pool(io), retries(limits) {}
+                 const retry_limits& limits, const std::string& incarnation)
+        : context(io), budgets(keeper), log(events), metrics(registry), pool(io), retries(limits),
+          notices(io, directory, incarnation) {}
 
     asio::io_context& context;
     Budgets& budgets;
@@ -45,6 +47,7 @@
     connection_pool pool;
     retry_budget retries;
     backend_directory directory;
+    prompt_notices notices;
     std::shared_ptr<const fleet_configuration> configuration; ///< Null before the first one is known.
     bool draining = false;      ///< A planned stop has begun: not ready, still serving.
     bool refusing = false;      ///< Late in a planned stop: new requests are refused.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -59,6 +59,7 @@
     s.listen = address(in, "listen");
     s.readiness_listen = address_or_none(in, "readiness_listen");
     s.peer_listen = address_or_none(in, "peer_listen");
+    s.notice_listen = address_or_none(in, "notice_listen");
     s.metrics_listen = address_or_none(in, "metrics_listen");
     s.store = address(in, "store");
     s.peers = addresses(in, "peers");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -19,6 +19,7 @@
     std::string listen;                 ///< For callers.
     std::string readiness_listen;       ///< Empty: readiness is not served.
     std::string peer_listen;            ///< For other routers and relays; empty: not served.
+    std::string notice_listen;          ///< For datagrams of other routers; empty: none are sent or taken.
     std::string metrics_listen;         ///< Empty: metrics are not served.
     std::string store;                  ///< Address of the platform's store.
     std::vector<std::string> peers;     ///< Routers that may know relays.
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -14,7 +14,11 @@
 struct prompt_terms {
     tokens prompt_tokens = 0;
     tokens most_output_tokens = 0;
-    std::string shared_part; ///< Last part of the prompt that it shares with other requests; may be empty.
+    tokens shared_tokens = 0; ///< Of `prompt_tokens`: in parts that other requests share.
+    std::string shared_part;  ///< Last part of the prompt that it shares with other requests; may be empty.
+
+    /// What a server reads that has read the shared parts before.
+    tokens own_tokens() const { return prompt_tokens - shared_tokens; }
 
     tokens most_tokens() const { return prompt_tokens + most_output_tokens; }
 };
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -10,13 +10,10 @@
 
 using candidates_t = std::vector<std::shared_ptr<tracked_backend>>;
 
-constexpr double allowed_over_mean = 1.5;   // Factor of the mean load.
-constexpr double always_allowed = 4;        // Requests; below this, unevenness costs nothing.
-constexpr double tokens_per_request = 8000; // Prompt tokens that weigh as much as one running request.
-
-double load_of(const tracked_backend& server) {
-    return server.running + static_cast<double>(server.prompt_tokens) / tokens_per_request;
-}
+constexpr double allowed_over_mean = 1.5;      // Factor of the mean load.
+constexpr double always_allowed = 4;           // Requests; below this, unevenness costs nothing.
+constexpr std::int64_t bearable_unread = 6000; // Prompt tokens to wait behind, beside those by shared tokens.
+constexpr std::int64_t unread_per_shared = 4;  // Tokens to wait behind for each shared token not read again.
 
 bool is_excluded(const tracked_backend& server, const placement_request& request) {
     return std::find(request.excluded.begin(), request.excluded.end(), server.server.id) !=
@@ -43,31 +40,46 @@
     std::shared_ptr<tracked_backend> best = candidates[start];
     for (std::size_t i = 1; i < candidates.size(); ++i) {
         const auto& each = candidates[(start + i) % candidates.size()];
-        if (load_of(*each) < load_of(*best)) {
+        if (each->running < best->running) {
             best = each;
         }
     }
     return best;
 }
 
-std::shared_ptr<tracked_backend> first_below_bound(const candidates_t& candidates, const std::string& part) {
+double request_bound(const candidates_t& candidates) {
     double total = 0;
     for (const auto& each : candidates) {
-        total += load_of(*each);
+        total += each->running;
     }
-    const double mean = total / static_cast<double>(candidates.size());
-    const double bound = std::max(always_allowed, allowed_over_mean * mean);
+    return std::max(always_allowed, allowed_over_mean * total / static_cast<double>(candidates.size()));
+}
+
+/// The first of the rendezvous order that is within both bounds; where none is, the one with the least to
+/// read.
+std::shared_ptr<tracked_backend> first_within_bounds(const candidates_t& candidates,
+                                                     const placement_request& request,
+                                                     tracked_backend::clock::time_point now) {
+    const double most_running = request_bound(candidates);
+    const std::int64_t most_unread = bearable_unread + unread_per_shared * request.shared_tokens;
     std::shared_ptr<tracked_backend> best;
     std::uint64_t best_rank = 0;
+    std::shared_ptr<tracked_backend> least;
+    std::int64_t least_unread = 0;
     for (const auto& each : candidates) {
-        const std::uint64_t rank = stable_hash(part + "\n" + each->server.id);
-        const bool fits = load_of(*each) <= bound;
+        const std::int64_t unread = each->known_unread_tokens(now);
+        if (least == nullptr || unread < least_unread) {
+            least = each;
+            least_unread = unread;
+        }
+        const std::uint64_t rank = stable_hash(request.shared_prompt_part + "\n" + each->server.id);
+        const bool fits = each->running <= most_running && unread <= most_unread;
         if (fits && (best == nullptr || rank > best_rank)) {
             best = each;
             best_rank = rank;
         }
     }
-    return best;
+    return best == nullptr ? least : best;
 }
 
 } // namespace
@@ -83,7 +95,7 @@
     if (request.shared_prompt_part.empty()) {
         return least_loaded(sound, request.random);
     }
-    return first_below_bound(sound, request.shared_prompt_part);
+    return first_within_bounds(sound, request, now);
 }
 
 } // namespace eelgrassgw
