--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -11,7 +11,7 @@
 using candidates_t = std::vector<std::shared_ptr<tracked_backend>>;
 
 constexpr double allowed_over_mean = 1.5;      // Factor of the mean load.
-constexpr double always_allowed = 4;           // Requests; below this, unevenness costs nothing.
+constexpr double always_allowed = 8;           // Requests; below this, unevenness costs nothing.
 constexpr std::int64_t bearable_unread = 6000; // Prompt tokens to wait behind, beside those by shared tokens.
 constexpr std::int64_t unread_per_shared = 4;  // Tokens to wait behind for each shared token not read again.
 
