--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -165,7 +165,7 @@
     versioned_ledger known_;
     clock::time_point known_at_{};
     clock::time_point written_at_{};
-    std::chrono::milliseconds write_time_{0}; ///< How long the last write took.
+    std::chrono::milliseconds round_time_{0}; ///< How long the last grant took, with all conflicts.
     std::uint64_t sequence_ = 0;
     std::optional<open_write> open_; ///< A write whose outcome is not known.
     bool store_away_ = false;
@@ -246,6 +246,7 @@
             co_return false;
         }
     }
+    const auto begun = clock::now();
     for (int i = 0; i < most_conflicts; ++i) {
         const planned_changes changes = plan();
         const bool must_show = known_.revision == 0 || clock::now() - written_at_ >= presence_interval;
@@ -253,14 +254,13 @@
             serve_waiting(true);
             co_return true;
         }
-        const auto begun = clock::now();
         const ledger_write written = co_await write_changes(changes.amounts);
         if (written.how == ledger_write::outcome::unknown) {
             co_return false;
         }
-        write_time_ = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - begun);
         take_in(written.now);
         if (written.how == ledger_write::outcome::applied) {
+            round_time_ = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - begun);
             serve_waiting(true);
             co_return true;
         }
@@ -336,7 +336,7 @@
     for (const auto& [customer, available] : allowances_.all_available()) {
         const allowance_change change = stopped_ ? allowance_change{-available, true}
                                                  : allowances_.wanted_change(customer, unspent(customer),
-                                                                             routers(), 2 * write_time_, now);
+                                                                             routers(), 2 * round_time_, now);
         if (change.amount != 0) {
             changes.amounts[customer] = change.amount;
             changes.is_due = changes.is_due || change.is_due;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,6 +57,7 @@
     static constexpr milliseconds rest_unusable{400};     ///< The same after an unusable answer.
     static constexpr milliseconds return_soon{250}; ///< Told to callers that were refused for lack of room.
     static constexpr milliseconds return_after_outage{800}; ///< The same while something is out of reach.
+    static constexpr milliseconds return_to_ledger{3000};   ///< The same while the store is out of reach.
     static constexpr int most_unreachable = 4;              ///< Servers tried that could not be reached.
     static constexpr std::size_t largest_held_answer = 256U
                                                        << 10U; ///< Bytes; larger ones are passed on early.
