--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -399,43 +399,40 @@
     }
 }
 
-/// Collects the body, and sends it once it is whole; a large one goes out as it comes.
+/// Collects the body, and sends it once it is whole; a large one of a success goes out as it comes. Nothing
+/// of it goes into an answer that an earlier server began.
 template <class Core>
 task<attempt_end> exchange<Core>::pass_body(backend_reply& reply, answer_kind kind) {
     std::string body;
-    for (;;) {
+    bool passing = false;
+    for (bool complete = false; !complete;) {
         std::string bytes;
         const auto state = co_await reply.read_piece(bytes);
         body += bytes;
         if (state == backend_reply::body_state::broken) {
             error_ = reply.error();
             co_return control_.ended() ? attempt_end::ended
-            : answer_.started()        ? attempt_end::broken_midway
+            : passing                  ? attempt_end::broken_midway
                                        : attempt_end::unusable;
         }
-        const bool complete = state == backend_reply::body_state::complete;
-        const bool passes_early = kind == answer_kind::success && body.size() > largest_held_answer;
-        if (!answer_.started() && passes_early && !complete) {
+        complete = state == backend_reply::body_state::complete;
+        if (!passing && !complete && kind == answer_kind::success && body.size() > largest_held_answer) {
+            passing = true;
             answer_head head;
             head.base() = core_.protocol.to_caller(reply.head());
             if (!co_await answer_.start(std::move(head))) {
                 control_.note_caller_left();
-                co_return attempt_end::ended;
             }
         }
-        if (answer_.started()) {
-            const bool passed = co_await answer_.send_piece(std::exchange(body, {})) &&
-                                (!complete || co_await answer_.finish());
-            if (!passed) {
-                control_.note_caller_left();
-                co_return attempt_end::ended;
-            }
+        if (passing && !co_await answer_.send_piece(std::exchange(body, {}))) {
+            control_.note_caller_left();
         }
-        if (complete) {
-            break;
+        if (passing && control_.ended()) {
+            co_return attempt_end::ended;
         }
     }
-    if (answer_.started()) {
+    if (passing) {
+        co_await answer_.finish();
         co_return attempt_end::answered;
     }
     text_reply whole;
--- a/test/gateway/budget_keeper_test.cpp
+++ b/test/gateway/budget_keeper_test.cpp
@@ -24,8 +24,8 @@
 
 std::unique_ptr<keeper> make_keeper(asio::io_context& context, std::shared_ptr<shared_ledger> ledger,
                                     const std::string& name) {
-    auto made = std::make_unique<keeper>(context, faulty_ledger(std::move(ledger)), name, allowance_policy{},
-                                         [](const char*, Json::Value) {});
+    auto made = std::make_unique<keeper>(context, faulty_ledger(std::move(ledger)), ledger_identity{name, ""},
+                                         allowance_policy{}, [](const char*, Json::Value) {});
     made->use(with_prepaid(prepaid));
     asio::co_spawn(context, made->run(), asio::detached);
     return made;
@@ -102,8 +102,7 @@
     int served = 0;
 };
 
-task<void> serve_one(asio::io_context& context, std::shared_ptr<schedule> fleet,
-                     std::shared_ptr<keeper> router) {
+task<void> serve_one(std::shared_ptr<schedule> fleet, std::shared_ptr<keeper> router) {
     const tokens most = 50 + tokens(fleet->ledger->random() % 800);
     if (co_await router->reserve("c", most, 200ms) != reservation_verdict::reserved) {
         co_return;
@@ -131,8 +130,7 @@
         }
         fleet->ledger->down = random() % 30 == 0;
         const bool at_paused = !fleet->dead.empty() && random() % 10 == 0;
-        asio::co_spawn(context, serve_one(context, fleet, at_paused ? fleet->dead.back() : chosen),
-                       asio::detached);
+        asio::co_spawn(context, serve_one(fleet, at_paused ? fleet->dead.back() : chosen), asio::detached);
         co_await sleep_for(std::chrono::milliseconds(random() % 20));
     }
     fleet->ledger->down = false;
--- a/test/gateway/placement_test.cpp
+++ b/test/gateway/placement_test.cpp
@@ -70,6 +70,30 @@
     EXPECT_LE(most, 40); // One and a half times the mean, and what comes before the first bound.
 }
 
+TEST(placement, server_with_a_long_prompt_to_read_is_passed_over) {
+    const servers all = make_servers(4);
+    const auto first = choose_backend_server(all, with_part("p"), now);
+    first->foreign_prompts["other#1"] = {50000, now + 1s};
+    EXPECT_NE(first, choose_backend_server(all, with_part("p"), now));
+}
+
+TEST(placement, request_with_costly_shared_parts_waits_for_its_server) {
+    const servers all = make_servers(4);
+    placement_request request = with_part("p");
+    const auto first = choose_backend_server(all, request, now);
+    first->unread_tokens = 20000;
+    request.shared_tokens = 5000;
+    EXPECT_EQ(first, choose_backend_server(all, request, now));
+}
+
+TEST(placement, least_is_waited_for_where_all_have_long_prompts) {
+    const servers all = make_servers(3);
+    all[0]->unread_tokens = 60000;
+    all[1]->unread_tokens = 40000;
+    all[2]->unread_tokens = 50000;
+    EXPECT_EQ(all[1], choose_backend_server(all, with_part("p"), now));
+}
+
 TEST(placement, request_without_a_part_goes_to_the_least_loaded) {
     const servers all = make_servers(3);
     all[0]->running = 2;
--- a/test/gateway/streams_test.cpp
+++ b/test/gateway/streams_test.cpp
@@ -105,6 +105,44 @@
     });
 }
 
+TEST_F(streams_test, stream_whose_next_server_declines_does_not_look_complete) {
+    int begun = 0;
+    const auto breaks = breaking_midway();
+    const auto declines = declining();
+    const auto script = [&](backend_exchange& e) -> task<void> {
+        const auto& chosen = begun++ == 0 ? breaks : declines;
+        co_await chosen(e);
+    };
+    add_backend("s1", "models", script);
+    add_backend("s2", "models", script);
+    run([&]() -> task<void> {
+        EXPECT_FALSE((co_await call(stream("/resumable/"))).has_value());
+        EXPECT_EQ(2, begun);
+    });
+}
+
+TEST_F(streams_test, stream_goes_on_past_a_server_that_is_another_one) {
+    int begun = 0;
+    const auto breaks = breaking_midway();
+    const auto goes_on = streaming(5);
+    const auto script = [&](backend_exchange& e) -> task<void> {
+        const int n = begun++;
+        if (n == 1) {
+            co_await e.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 5\r\n\r\nother");
+            co_return;
+        }
+        const auto& chosen = n == 0 ? breaks : goes_on;
+        co_await chosen(e);
+    };
+    for (const char* id : {"s1", "s2", "s3"}) {
+        add_backend(id, "models", script);
+    }
+    run([&]() -> task<void> {
+        const auto answer = co_await call(stream("/resumable/"));
+        EXPECT_EQ(events(1, 5), answer ? answer->body() : "no whole answer");
+    });
+}
+
 TEST_F(streams_test, requests_with_one_shared_part_meet_at_one_server) {
     auto& first = add_backend("s1", "models", streaming(2));
     auto& second = add_backend("s2", "models", streaming(2));
