--- a/include/eelgrassgw/metrics/metrics.h
+++ b/include/eelgrassgw/metrics/metrics.h
@@ -1,7 +1,8 @@
 #pragma once
 
-/// Counters and gauges of one process, served in the Prometheus text format.
+/// Counters, gauges and latency histograms of one process, served in the Prometheus text format.
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -24,6 +25,9 @@
     /// Sets the gauge `name`.
     void set(const std::string& name, double value, const labels& with = {});
 
+    /// Adds one duration to the histogram `name`, in seconds.
+    void observe(const std::string& name, std::chrono::milliseconds duration, const labels& with = {});
+
     /// All metrics in the text format.
     std::string text() const;
 
--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -4,12 +4,12 @@
 
 #include "base/event_sink.h"
 #include "budgets/allowance_table.h"
-#include "budgets/budget_ledger.h"
+#include "budgets/budget_view.h"
+#include "budgets/ledger_store.h"
 #include "net/task.h"
 #include "routes/fleet_configuration.h"
 
 #include <algorithm>
-#include <concepts>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -19,52 +19,6 @@
 
 namespace eelgrassgw {
 
-/// A ledger with the store's revision of it; revision 0 means that there is none yet.
-struct versioned_ledger {
-    budget_ledger ledger;
-    std::uint64_t revision = 0;
-};
-
-/// How a conditional write ended.
-struct ledger_write {
-    enum class outcome {
-        applied,  ///< `now` is what was written.
-        conflict, ///< Certainly not applied; `now` is the ledger as it is.
-        unknown,  ///< May have been applied, or may be later.
-    };
-    outcome how = outcome::unknown;
-    versioned_ledger now;
-    std::string why; ///< For `unknown`: the error.
-};
-
-/// Where the ledger lies. A write succeeds only if the ledger still has `expected`.
-template <class T>
-concept ledger_store = requires(T store, const budget_ledger& ledger, std::uint64_t expected) {
-    { store.read() } -> std::same_as<task<result<versioned_ledger>>>;
-    { store.write(ledger, expected) } -> std::same_as<task<ledger_write>>;
-};
-
-/// The answer to a request for tokens.
-enum class reservation_verdict {
-    reserved,
-    exhausted, ///< The budget does not cover the request.
-    unknown,   ///< The allowance is too small, and the ledger could not be asked in time.
-};
-
-/// How a router appears to the others in the ledger.
-struct ledger_identity {
-    std::string router;         ///< Its incarnation.
-    std::string notice_address; ///< Where it takes datagrams of other routers; may be empty.
-};
-
-/// What a decision about a budget was based on, for logs.
-struct budget_view {
-    std::uint64_t ledger_revision = 0;
-    std::chrono::milliseconds ledger_age{0};
-    tokens unspent = 0; ///< Prepaid and not taken by any router, when the ledger was read.
-    tokens available = 0;
-};
-
 /// One round at a time asks the ledger; requests that find too little wait for the next round's end.
 /// Safety rests on the conditional writes alone: a grant counts when its write is known to have been applied,
 /// and a return leaves the allowance before it is written. Not thread-safe: all tasks run on one thread.
--- /dev/null
+++ b/src/gateway/internal/gateway_following.h
@@ -0,0 +1,141 @@
+#pragma once
+
+/// How the router follows the configuration, the backend servers and the relays. Part of gateway.h.
+
+#include "gateway/gateway.h"
+
+namespace eelgrassgw {
+
+template <gateway_platform Platform>
+follower_callbacks gateway<Platform>::configuration_callbacks() {
+    follower_callbacks callbacks;
+    callbacks.log = sink();
+    callbacks.listed = [this](const object_listing& all, bool) {
+        for (const followed_object& object : all.objects) {
+            use_configuration(object);
+        }
+    };
+    callbacks.changed = [this](const followed_change& change, bool) {
+        if (!change.removed) {
+            use_configuration(change.object);
+        }
+    };
+    return callbacks;
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::use_configuration(const followed_object& object) {
+    if (object.name != Platform::configuration_name) {
+        return;
+    }
+    auto decoded = Platform::decode_configuration(object.content);
+    Json::Value fields;
+    fields["revision"] = Json::UInt64(object.revision);
+    if (!decoded) {
+        fields["error"] = decoded.error().text();
+        log_.write_failure("configuration_rejected", std::move(fields));
+        return;
+    }
+    fields["version"] = Json::UInt64(decoded.value()->version());
+    if (core_.configuration != nullptr && decoded.value()->version() <= core_.configuration->version()) {
+        return;
+    }
+    core_.configuration = decoded.value();
+    budgets_.use(decoded.value());
+    choose_relays();
+    log_.write("configuration_in_force", std::move(fields));
+}
+
+template <gateway_platform Platform>
+follower_callbacks gateway<Platform>::backend_callbacks() {
+    follower_callbacks callbacks;
+    callbacks.log = sink();
+    callbacks.listed = [this](const object_listing& all, bool after_outage) {
+        std::vector<backend_directory::entry> entries;
+        for (const followed_object& object : all.objects) {
+            auto entry = decode_entry(object);
+            if (entry) {
+                entries.push_back(std::move(*entry));
+            }
+        }
+        core_.directory.replace_all(entries, after_outage, clock::now());
+        choose_relays();
+        Json::Value fields;
+        fields["servers"] = Json::UInt64(entries.size());
+        fields["revision"] = Json::UInt64(all.revision);
+        fields["after_outage"] = after_outage;
+        log_.write("backend_servers_listed", std::move(fields));
+    };
+    callbacks.changed = [this](const followed_change& change, bool after_outage) {
+        use_backend_entry(change, after_outage);
+        choose_relays();
+    };
+    return callbacks;
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::use_backend_entry(const followed_change& change, bool after_outage) {
+    Json::Value fields;
+    fields["server"] = change.object.name;
+    fields["revision"] = Json::UInt64(change.object.revision);
+    auto entry = change.removed ? std::nullopt : decode_entry(change.object);
+    if (entry) {
+        const bool draining = entry->server.draining;
+        core_.directory.put(*entry);
+        fields["state"] = draining ? "draining" : "ready";
+    } else {
+        const bool lapsed = change.removed && after_outage;
+        core_.directory.remove(change.object.name, change.object.revision, lapsed, clock::now());
+        fields["state"] = lapsed ? "lapsed" : "removed";
+    }
+    log_.write("backend_server_changed", std::move(fields));
+}
+
+template <gateway_platform Platform>
+std::optional<backend_directory::entry> gateway<Platform>::decode_entry(const followed_object& object) {
+    const auto decoded = Platform::decode_backend_server(object.name, object.content);
+    if (decoded) {
+        return backend_directory::entry{decoded.value(), object.revision};
+    }
+    if (unusable_entries_.insert(object.name).second) {
+        Json::Value fields;
+        fields["server"] = object.name;
+        fields["error"] = decoded.error().text();
+        log_.write_failure("backend_entry_rejected", std::move(fields));
+    }
+    return std::nullopt;
+}
+
+template <gateway_platform Platform>
+void gateway<Platform>::learn_relays(const std::vector<std::string>& relays) {
+    constexpr std::size_t most_announced = 200;
+    for (const std::string& relay : relays) {
+        if (announced_relays_.size() < most_announced && parse_address(relay)) {
+            announced_relays_.insert(relay);
+        }
+    }
+    choose_relays();
+}
+
+/// Relays beside model servers that are listed, those of this data centre first; before any is known,
+/// announced ones.
+template <gateway_platform Platform>
+void gateway<Platform>::choose_relays() {
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto& each : core_.directory.all()) {
+        const bool runs_models = core_.configuration != nullptr &&
+                                 core_.configuration->find_service(each->server.service).runs_models;
+        if (settings_.relay_port != 0 && runs_models) {
+            const std::string relay = make_address(host_of(each->server.address), settings_.relay_port);
+            (each->server.data_centre == settings_.data_centre ? near : far).push_back(relay);
+        }
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    if (near.empty()) {
+        near.assign(announced_relays_.begin(), announced_relays_.end());
+    }
+    paths_.set_relays(std::move(near));
+}
+
+} // namespace eelgrassgw
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -36,6 +37,17 @@
     prometheus::BuildGauge().Name(full_name(name)).Register(impl_->registry).Add(with).Set(value);
 }
 
+void metrics_registry::observe(const std::string& name, std::chrono::milliseconds duration,
+                               const labels& with) {
+    const prometheus::Histogram::BucketBoundaries seconds{0.01, 0.025, 0.05, 0.1, 0.2, 0.4,
+                                                          0.6,  1,     2,    4,   8,   16};
+    prometheus::BuildHistogram()
+        .Name(full_name(name + "_seconds"))
+        .Register(impl_->registry)
+        .Add(with, seconds)
+        .Observe(std::chrono::duration<double>(duration).count());
+}
+
 std::string metrics_registry::text() const {
     return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
--- a/test/gateway/streams_test.cpp
+++ b/test/gateway/streams_test.cpp
@@ -105,6 +105,26 @@
     });
 }
 
+TEST_F(streams_test, resumable_stream_that_broke_before_its_first_event_begins_anew) {
+    int begun = 0;
+    const auto goes_on = streaming(5);
+    const auto script = [&](backend_exchange& e) -> task<void> {
+        if (begun++ == 0) {
+            co_await e.start_stream();
+            co_await sleep_for(50ms);
+            e.break_off(true);
+            co_return;
+        }
+        co_await goes_on(e);
+    };
+    add_backend("s1", "models", script);
+    add_backend("s2", "models", script);
+    run([&]() -> task<void> {
+        const auto answer = co_await call(stream("/resumable/"));
+        EXPECT_EQ(events(1, 5), answer ? answer->body() : "no whole answer");
+    });
+}
+
 TEST_F(streams_test, stream_whose_next_server_declines_does_not_look_complete) {
     int begun = 0;
     const auto breaks = breaking_midway();
