--- a/src/budgets/allowance_table.cpp
+++ b/src/budgets/allowance_table.cpp
@@ -16,7 +16,8 @@
 
 /// Whether an allowance is due for a refill up to `target`.
 bool is_low(tokens available, tokens target) {
-    constexpr tokens part = 5; // Of the target. Refills near the end lose less with a router, and cost fewer writes.
+    constexpr tokens part =
+        5; // Of the target. Refills near the end lose less with a router, and cost fewer writes.
     return available < target / part;
 }
 
