A key that came with another body is refused with ran: unknown

Its callers use one key with two bodies; one that came after the first run had ended met it. A request with a key is one request, however often it is sent, so 'no' was not true. Conclusion: mended.

--- a/src/router/dispatch_errors.cpp
+++ b/src/router/dispatch_errors.cpp
@@ -129,6 +129,7 @@
     error.status = 422;
     error.code = "key_reused";
     error.message = "The idempotency key was used with another body.";
+    error.did_run = ran::unknown; // A request under this key is known, and may have run.
     error.step = step;
     error.safe_to_repeat = false;
     return error;
--- a/test/system/whole_path_test.cpp
+++ b/test/system/whole_path_test.cpp
@@ -61,7 +61,9 @@
 
 TEST_F(whole_path_test, key_with_another_body_is_refused) {
     (void)callers.chat("router-1", "one body", "same-key", false);
-    EXPECT_EQ(callers.chat("router-2", "another body", "same-key", false).code, "key_reused");
+    const observation reused = callers.chat("router-2", "another body", "same-key", false);
+    EXPECT_EQ(reused.code, "key_reused");
+    EXPECT_EQ(reused.ran, "unknown");
 }
 
 TEST_F(whole_path_test, booking_without_a_key_is_refused) {
