Requests of all routers to the ledger are joined by one relay into one write

Change: a router sends what it wants, with the limit, to a relay that all routers prefer; it writes all that has arrived in one conditional write, cuts grants at the limit and tells so in the ledger. A request carries its own and the router's previous sequence, so it applies once whoever writes it: it goes on to a second relay and to the router's own writer where no answer comes. ledger_request, ledger_writer, ledger_client, ledger_endpoint are new. Six deliberate faults are found. "Conflicts taken for applied" and "lost answers taken for applied" of the store's client no longer do harm, as the router looks for its own sequence in the ledger; the latter is replaced by one at the router's way to the writer, the other by three new ones.

--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -5,7 +5,7 @@
 #include "base/event_sink.h"
 #include "budgets/allowance_table.h"
 #include "budgets/budget_view.h"
-#include "budgets/ledger_store.h"
+#include "budgets/ledger_request.h"
 #include "net/task.h"
 #include "routes/fleet_configuration.h"
 
@@ -20,9 +20,10 @@
 namespace eelgrassgw {
 
 /// One round at a time asks the ledger; requests that find too little wait for the next round's end.
-/// Safety rests on the conditional writes alone: a grant counts when its write is known to have been applied,
-/// and a return leaves the allowance before it is written. Not thread-safe: all tasks run on one thread.
-template <ledger_store Store>
+/// Safety rests on the ledger's conditional writes alone: a grant counts when its write is known to have been
+/// applied, and a return leaves the allowance before it is written. Not thread-safe: all tasks run on one
+/// thread.
+template <ledger_service Ledger>
 class budget_keeper {
 public:
     using clock = std::chrono::steady_clock;
@@ -33,12 +34,13 @@
     static constexpr std::chrono::milliseconds retry_pause{150};  ///< After a round that failed.
     static constexpr std::chrono::seconds presence_interval{4};   ///< Between writes of an idle router.
     static constexpr std::chrono::milliseconds presence_window{
-        10000};                              ///< Routers that wrote then count as there.
-    static constexpr int most_conflicts = 8; ///< In one round.
+        10000};                             ///< Routers that wrote then count as there.
+    static constexpr int most_requests = 4; ///< To the ledger, in one round.
 
-    budget_keeper(asio::io_context& context, Store store, ledger_identity self,
+    /// Precondition: `ledger` outlives this object.
+    budget_keeper(asio::io_context& context, Ledger& ledger, ledger_identity self,
                   const allowance_policy& policy, event_sink_function log)
-        : context_(context), store_(std::move(store)), self_(std::move(self)), allowances_(policy),
+        : context_(context), ledger_(ledger), self_(std::move(self)), allowances_(policy),
           log_(std::move(log)), wake_(context, clock::time_point::max()) {}
 
     /// The newest configuration, which states what is prepaid.
@@ -84,7 +86,7 @@
     };
     struct open_write {
         std::uint64_t sequence = 0;
-        std::map<std::string, tokens> changes;
+        std::map<std::string, wanted_tokens> changes;
     };
 
     void wake() {
@@ -95,23 +97,27 @@
     tokens unspent(const std::string& customer) const;
     void take_in(const versioned_ledger& now);
     struct planned_changes {
-        std::map<std::string, tokens> amounts;
+        std::map<std::string, wanted_tokens> amounts;
         bool is_due = false;
     };
     planned_changes plan() const;
+    tokens prepaid_of(const std::string& customer) const;
+    bool must_show_presence() const { return clock::now() - written_at_ >= presence_interval; }
     task<bool> round();
-    task<bool> read_ledger();
-    task<ledger_write> write_changes(const std::map<std::string, tokens>& changes);
-    void credit(const std::map<std::string, tokens>& changes);
-    void withdraw_returns(const std::map<std::string, tokens>& changes);
-    void restore_returns(const std::map<std::string, tokens>& changes);
+    task<bool> look();
+    task<bool> write(const planned_changes& changes);
+    task<bool> submit(const ledger_request& request);
+    void resolve_open_writes(const budget_ledger::writer& last);
+    void withdraw_returns(const open_write& of);
+    void restore_returns(const open_write& of);
+    void credit_grants(const open_write& of, const budget_ledger::writer& last);
     void serve_waiting(bool after_round);
     void fail_waiting();
     void finish(waiting_request& of, reservation_verdict verdict);
     bool anyone_waits() const { return !waiting_.empty(); }
 
     asio::io_context& context_;
-    Store store_;
+    Ledger& ledger_;
     ledger_identity self_;
     allowance_table allowances_;
     event_sink_function log_;
@@ -120,8 +126,9 @@
     clock::time_point known_at_{};
     clock::time_point written_at_{};
     std::chrono::milliseconds round_time_{0}; ///< How long the last grant took, with all conflicts.
-    std::uint64_t sequence_ = 0;
-    std::optional<open_write> open_; ///< A write whose outcome is not known.
+    std::uint64_t sequence_ = 0;              ///< Of the newest write.
+    std::uint64_t confirmed_ = 0;             ///< Of the last write that is known to be in the ledger.
+    std::vector<open_write> open_;            ///< Later writes, of which the ledger takes one at most.
     bool store_away_ = false;
     bool stopped_ = false;
     bool in_round_ = false;
@@ -130,9 +137,9 @@
     std::list<std::shared_ptr<waiting_request>> waiting_;
 };
 
-template <ledger_store Store>
-task<reservation_verdict> budget_keeper<Store>::reserve(std::string customer, tokens amount,
-                                                        std::chrono::milliseconds patience) {
+template <ledger_service Ledger>
+task<reservation_verdict> budget_keeper<Ledger>::reserve(std::string customer, tokens amount,
+                                                         std::chrono::milliseconds patience) {
     const auto now = clock::now();
     allowances_.note_demand(customer, amount, now);
     if (allowances_.reserve(customer, amount)) {
@@ -162,8 +169,8 @@
     co_return *own->verdict;
 }
 
-template <ledger_store Store>
-task<void> budget_keeper<Store>::run() {
+template <ledger_service Ledger>
+task<void> budget_keeper<Ledger>::run() {
     while (!stopped_) {
         if (!wake_requested_) {
             wake_.expires_after(presence_interval);
@@ -191,153 +198,154 @@
     }
 }
 
-/// Brings allowances and ledger to what is wanted, through as many conflicts as it takes, up to a bound.
-template <ledger_store Store>
-task<bool> budget_keeper<Store>::round() {
-    const bool hopeless = anyone_waits() && !plan().is_due; // By the known ledger; a newer one may say more.
-    if (known_.revision == 0 || open_.has_value() || hopeless) {
-        if (!co_await read_ledger()) {
-            co_return false;
-        }
+/// Brings allowances and ledger to what is wanted. Returns whether the ledger could be asked.
+template <ledger_service Ledger>
+task<bool> budget_keeper<Ledger>::round() {
+    if (!open_.empty() && !co_await look()) {
+        co_return false;
     }
-    const auto begun = clock::now();
-    for (int i = 0; i < most_conflicts; ++i) {
+    bool has_news = false;
+    for (int i = 0; i < most_requests; ++i) {
         const planned_changes changes = plan();
-        const bool must_show = known_.revision == 0 || clock::now() - written_at_ >= presence_interval;
-        if (!changes.is_due && !must_show) {
-            serve_waiting(true);
+        const bool writes = changes.is_due || must_show_presence();
+        const bool looks = anyone_waits() && !has_news;
+        if (!writes && !looks) {
             co_return true;
         }
-        const ledger_write written = co_await write_changes(changes.amounts);
-        if (written.how == ledger_write::outcome::unknown) {
+        const bool answered = writes ? co_await write(changes) : co_await look();
+        if (!answered) {
             co_return false;
         }
-        take_in(written.now);
-        if (written.how == ledger_write::outcome::applied) {
-            round_time_ = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - begun);
-            serve_waiting(true);
-            co_return true;
-        }
+        has_news = true;
+        serve_waiting(true);
     }
     wake();
     co_return true;
 }
 
-template <ledger_store Store>
-task<bool> budget_keeper<Store>::read_ledger() {
-    result<versioned_ledger> read = co_await store_.read();
-    if (!read) {
-        Json::Value fields;
-        fields["error"] = read.error().text();
-        log_("ledger_read_failed", std::move(fields));
-        co_return false;
-    }
-    take_in(read.value());
-    co_return true;
+template <ledger_service Ledger>
+task<bool> budget_keeper<Ledger>::look() {
+    ledger_request request;
+    request.router = self_.router;
+    request.is_urgent = anyone_waits();
+    co_return co_await submit(request);
 }
 
-/// Writes the changes against the known revision and accounts for the outcome.
-template <ledger_store Store>
-task<ledger_write> budget_keeper<Store>::write_changes(const std::map<std::string, tokens>& changes) {
-    budget_ledger next = known_.ledger;
-    for (const auto& [customer, amount] : changes) {
-        next.taken[customer] += amount;
-    }
-    const std::uint64_t sequence = ++sequence_;
-    const auto unix_time = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    next.note_write(self_.router, {sequence, unix_time.count(), self_.notice_address});
-    withdraw_returns(changes);
-    ledger_write written = co_await store_.write(next, known_.revision);
-    const bool found = written.how == ledger_write::outcome::conflict &&
-                       written.now.ledger.has_write(self_.router, sequence);
-    if (found) {
-        written.how = ledger_write::outcome::applied; // An earlier copy of this very write was first.
-    }
-    Json::Value fields;
-    if (written.how == ledger_write::outcome::applied) {
-        open_.reset(); // Its condition cannot hold any more.
+template <ledger_service Ledger>
+task<bool> budget_keeper<Ledger>::write(const planned_changes& changes) {
+    ledger_request request;
+    request.router = self_.router;
+    request.notice_address = self_.notice_address;
+    request.sequence = ++sequence_;
+    request.previous = confirmed_;
+    request.is_urgent = anyone_waits();
+    request.changes = changes.amounts;
+    open_.push_back({request.sequence, request.changes});
+    withdraw_returns(open_.back());
+    const auto begun = clock::now();
+    const bool answered = co_await submit(request);
+    if (answered && confirmed_ == request.sequence) {
         written_at_ = clock::now();
-        credit(changes);
-    } else if (written.how == ledger_write::outcome::conflict) {
-        restore_returns(changes);
-    } else {
-        open_ = open_write{sequence, changes};
-        fields["error"] = written.why;
-        fields["sequence"] = Json::UInt64(sequence);
-        log_("ledger_write_unknown", std::move(fields));
+        round_time_ = std::chrono::duration_cast<std::chrono::milliseconds>(written_at_ - begun);
     }
-    co_return written;
+    co_return answered;
 }
 
-/// Accepts a version of the ledger, and learns from it what became of an open write.
-template <ledger_store Store>
-void budget_keeper<Store>::take_in(const versioned_ledger& now) {
-    if (open_.has_value() && now.ledger.has_write(self_.router, open_->sequence)) {
-        credit(open_->changes);
-        open_.reset();
+/// Sends a request and takes in the ledger that comes back. False where none did.
+template <ledger_service Ledger>
+task<bool> budget_keeper<Ledger>::submit(const ledger_request& request) {
+    const ledger_outcome outcome = co_await ledger_.submit(request);
+    if (outcome.how == ledger_outcome::kind::unknown) {
+        Json::Value fields;
+        fields["error"] = outcome.why;
+        fields["sequence"] = Json::UInt64(request.sequence);
+        log_("ledger_request_unknown", std::move(fields));
+        co_return false;
     }
-    if (now.revision >= known_.revision) {
-        known_ = now;
+    if (outcome.now.revision >= known_.revision) {
+        known_ = outcome.now;
         known_at_ = clock::now();
+        resolve_open_writes(known_.ledger.last_write(self_.router));
+    }
+    co_return true;
+}
+
+/// Learns from the router's last write in the ledger what became of those that were open: each of them
+/// applies only after the one that was confirmed before, so once another is there, the rest never apply.
+template <ledger_service Ledger>
+void budget_keeper<Ledger>::resolve_open_writes(const budget_ledger::writer& last) {
+    if (last.sequence == confirmed_) {
+        return;
     }
+    for (const open_write& each : open_) {
+        if (each.sequence == last.sequence) {
+            credit_grants(each, last);
+        } else {
+            restore_returns(each);
+        }
+    }
+    open_.clear();
+    confirmed_ = last.sequence;
 }
 
-template <ledger_store Store>
-typename budget_keeper<Store>::planned_changes budget_keeper<Store>::plan() const {
+template <ledger_service Ledger>
+typename budget_keeper<Ledger>::planned_changes budget_keeper<Ledger>::plan() const {
     planned_changes changes;
     const auto now = clock::now();
     for (const auto& [customer, available] : allowances_.all_available()) {
-        const allowance_change change = stopped_ ? allowance_change{-available, true}
+        const allowance_change change = stopped_ ? allowance_change{-available, available > 0}
                                                  : allowances_.wanted_change(customer, unspent(customer),
                                                                              routers(), 2 * round_time_, now);
         if (change.amount != 0) {
-            changes.amounts[customer] = change.amount;
+            changes.amounts[customer] = {change.amount, prepaid_of(customer)};
             changes.is_due = changes.is_due || change.is_due;
         }
     }
     return changes;
 }
 
-template <ledger_store Store>
-tokens budget_keeper<Store>::unspent(const std::string& customer) const {
+template <ledger_service Ledger>
+tokens budget_keeper<Ledger>::prepaid_of(const std::string& customer) const {
     const auto* of = configuration_ == nullptr ? nullptr : configuration_->find_customer(customer);
-    if (of == nullptr || !of->prepaid.has_value()) {
-        return 0;
-    }
-    return *of->prepaid - known_.ledger.taken_by_all(customer);
+    return of == nullptr ? 0 : of->prepaid.value_or(0);
+}
+
+template <ledger_service Ledger>
+tokens budget_keeper<Ledger>::unspent(const std::string& customer) const {
+    return prepaid_of(customer) - known_.ledger.taken_by_all(customer);
 }
 
-template <ledger_store Store>
-void budget_keeper<Store>::credit(const std::map<std::string, tokens>& changes) {
-    for (const auto& [customer, amount] : changes) {
-        if (amount > 0) {
-            allowances_.add(customer, amount);
+template <ledger_service Ledger>
+void budget_keeper<Ledger>::withdraw_returns(const open_write& of) {
+    for (const auto& [customer, wanted] : of.changes) {
+        if (wanted.amount < 0) {
+            allowances_.add(customer, wanted.amount);
         }
     }
 }
 
-template <ledger_store Store>
-void budget_keeper<Store>::withdraw_returns(const std::map<std::string, tokens>& changes) {
-    for (const auto& [customer, amount] : changes) {
-        if (amount < 0) {
-            allowances_.add(customer, amount);
+template <ledger_service Ledger>
+void budget_keeper<Ledger>::restore_returns(const open_write& of) {
+    for (const auto& [customer, wanted] : of.changes) {
+        if (wanted.amount < 0) {
+            allowances_.add(customer, -wanted.amount);
         }
     }
 }
 
-template <ledger_store Store>
-void budget_keeper<Store>::restore_returns(const std::map<std::string, tokens>& changes) {
-    for (const auto& [customer, amount] : changes) {
-        if (amount < 0) {
-            allowances_.add(customer, -amount);
+template <ledger_service Ledger>
+void budget_keeper<Ledger>::credit_grants(const open_write& of, const budget_ledger::writer& last) {
+    for (const auto& [customer, wanted] : of.changes) {
+        const tokens granted = last.granted(customer, wanted.amount);
+        if (granted > 0) {
+            allowances_.add(customer, granted);
         }
     }
 }
 
 /// Reserves for those that fit now. After a round with a fresh ledger, the others learn that nothing is left.
-template <ledger_store Store>
-void budget_keeper<Store>::serve_waiting(bool after_round) {
+template <ledger_service Ledger>
+void budget_keeper<Ledger>::serve_waiting(bool after_round) {
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         waiting_request& of = **it;
         if (allowances_.reserve(of.customer, of.amount)) {
@@ -352,23 +360,23 @@
     }
 }
 
-template <ledger_store Store>
-void budget_keeper<Store>::fail_waiting() {
+template <ledger_service Ledger>
+void budget_keeper<Ledger>::fail_waiting() {
     for (const auto& each : waiting_) {
         finish(*each, reservation_verdict::unknown);
     }
     waiting_.clear();
 }
 
-template <ledger_store Store>
-void budget_keeper<Store>::finish(waiting_request& of, reservation_verdict verdict) {
+template <ledger_service Ledger>
+void budget_keeper<Ledger>::finish(waiting_request& of, reservation_verdict verdict) {
     of.verdict = verdict;
     allowances_.note_waiting(of.customer, -of.amount);
     of.woken.cancel();
 }
 
-template <ledger_store Store>
-task<bool> budget_keeper<Store>::give_back() {
+template <ledger_service Ledger>
+task<bool> budget_keeper<Ledger>::give_back() {
     stopped_ = true;
     wake();
     while (in_round_) {
@@ -377,8 +385,8 @@
     co_return configuration_ == nullptr || co_await round();
 }
 
-template <ledger_store Store>
-std::vector<std::string> budget_keeper<Store>::other_routers() const {
+template <ledger_service Ledger>
+std::vector<std::string> budget_keeper<Ledger>::other_routers() const {
     std::vector<std::string> addresses;
     for (const auto& [router, writer] : known_.ledger.recent_writers(presence_window)) {
         if (router != self_.router && !writer.address.empty()) {
@@ -388,8 +396,8 @@
     return addresses;
 }
 
-template <ledger_store Store>
-budget_view budget_keeper<Store>::view(const std::string& customer) const {
+template <ledger_service Ledger>
+budget_view budget_keeper<Ledger>::view(const std::string& customer) const {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - known_at_);
     return {known_.revision, age, unspent(customer), allowances_.available(customer)};
 }
--- a/src/budgets/budget_ledger.cpp
+++ b/src/budgets/budget_ledger.cpp
@@ -14,6 +14,13 @@
     return newest;
 }
 
+void forget_old_writers(budget_ledger& ledger, const std::string& but) {
+    const std::chrono::milliseconds retention = budget_ledger::writer_retention;
+    const std::int64_t oldest = newest_write(ledger) - retention.count();
+    std::erase_if(ledger.writers,
+                  [&](const auto& each) { return each.first != but && each.second.written_at_ms < oldest; });
+}
+
 failure malformed(const std::string& message) {
     return make_failure(errc::malformed, "parse budget ledger", "", message);
 }
@@ -25,18 +32,29 @@
     return it == taken.end() ? 0 : it->second;
 }
 
-bool budget_ledger::has_write(const std::string& router, std::uint64_t sequence) const {
+tokens budget_ledger::writer::granted(const std::string& customer, tokens wanted) const {
+    const auto it = reduced.find(customer);
+    return it == reduced.end() ? wanted : it->second;
+}
+
+budget_ledger::writer budget_ledger::last_write(const std::string& router) const {
     const auto it = writers.find(router);
-    return it != writers.end() && it->second.sequence >= sequence;
+    return it == writers.end() ? writer{} : it->second;
 }
 
-void budget_ledger::note_write(const std::string& router, const writer& last) {
-    writers[router] = last;
-    const std::chrono::milliseconds retention = writer_retention;
-    const std::int64_t oldest = newest_write(*this) - retention.count();
-    std::erase_if(writers, [&](const auto& each) {
-        return each.first != router && each.second.written_at_ms < oldest;
-    });
+void budget_ledger::change(const std::string& router, writer last,
+                           const std::map<std::string, wanted_tokens>& changes) {
+    for (const auto& [customer, wanted] : changes) {
+        tokens& of = taken[customer];
+        const tokens free = std::max<tokens>(wanted.most_taken - of, 0);
+        const tokens granted = std::min(wanted.amount, free);
+        of += granted;
+        if (granted != wanted.amount) {
+            last.reduced[customer] = granted;
+        }
+    }
+    writers[router] = std::move(last);
+    forget_old_writers(*this, router);
 }
 
 std::map<std::string, budget_ledger::writer>
@@ -58,6 +76,9 @@
         writers[router]["sequence"] = Json::UInt64(writer.sequence);
         writers[router]["written_at_ms"] = Json::Int64(writer.written_at_ms);
         writers[router]["address"] = writer.address;
+        for (const auto& [customer, amount] : writer.reduced) {
+            writers[router]["reduced"][customer] = Json::Int64(amount);
+        }
     }
     return document;
 }
@@ -76,8 +97,16 @@
     }
     for (const std::string& router : document["writers"].getMemberNames()) {
         const Json::Value& writer = document["writers"][router];
-        ledger.writers[router] = {std::uint64_t(int_member(writer, "sequence")),
-                                  int_member(writer, "written_at_ms"), string_member(writer, "address")};
+        budget_ledger::writer& of = ledger.writers[router];
+        of = {std::uint64_t(int_member(writer, "sequence")),
+              int_member(writer, "written_at_ms"),
+              string_member(writer, "address"),
+              {}};
+        const Json::Value& reduced = member(writer, "reduced");
+        for (const std::string& customer :
+             reduced.isObject() ? reduced.getMemberNames() : Json::Value::Members()) {
+            of.reduced[customer] = int_member(reduced, customer.c_str());
+        }
     }
     return ledger;
 }
--- a/src/budgets/budget_ledger.h
+++ b/src/budgets/budget_ledger.h
@@ -11,14 +11,24 @@
 
 namespace eelgrassgw {
 
+/// What a router wants changed for one customer.
+struct wanted_tokens {
+    tokens amount = 0;     ///< To take (positive) or to give back (negative).
+    tokens most_taken = 0; ///< What is prepaid: taking never raises what all routers took beyond it.
+};
+
 /// Kept in the platform's store and changed by conditional writes only, so `taken` never exceeds what was
 /// prepaid when it was raised. Tokens that a router took and did not use before it died stay in `taken`.
 struct budget_ledger {
-    /// The last write of a router. It tells a router whether a write without an answer took effect.
+    /// The last write of a router. It tells a router what became of a write without an answer.
     struct writer {
         std::uint64_t sequence = 0;
         std::int64_t written_at_ms = 0; ///< Unix time by the writer's clock. Only counts and clean-up use it.
         std::string address;            ///< Where the router takes datagrams of others; may be empty.
+        std::map<std::string, tokens> reduced; ///< Granted by that write, where it was less than wanted.
+
+        /// What that write granted of `wanted`.
+        tokens granted(const std::string& customer, tokens wanted) const;
     };
 
     std::map<std::string, tokens> taken;   ///< By customer.
@@ -26,15 +36,16 @@
 
     tokens taken_by_all(const std::string& customer) const;
 
-    /// Whether the write `sequence` of `router` is in this version.
-    bool has_write(const std::string& router, std::uint64_t sequence) const;
+    /// The last write of `router`; one with sequence 0 where there is none.
+    writer last_write(const std::string& router) const;
 
-    /// Records a write, and forgets routers that have not written for `writer_retention`.
-    void note_write(const std::string& router, const writer& last);
+    /// Changes what `router` has taken, as far as the limits allow, and records `last` as its last write.
+    void change(const std::string& router, writer last, const std::map<std::string, wanted_tokens>& changes);
 
     /// Routers that wrote in the `recent` time before the newest write, by incarnation.
     std::map<std::string, writer> recent_writers(std::chrono::milliseconds recent) const;
 
+    /// Routers that have not written for so long are forgotten.
     static constexpr std::chrono::minutes writer_retention{10};
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,11 +2,13 @@
 
 /// The router: callers on one side, backend servers on the other, the platform's store beside them.
 
+#include "budgets/ledger_writer.h"
 #include "gateway/caller_session.h"
 #include "gateway/gateway_settings.h"
 #include "net/address.h"
 #include "net/http_service.h"
 #include "net/metrics_service.h"
+#include "relay/ledger_client.h"
 #include "relay/relay_protocol.h"
 #include "store/object_follower.h"
 #include "store/store_paths.h"
@@ -39,7 +41,9 @@
 public:
     using clock = std::chrono::steady_clock;
     using milliseconds = std::chrono::milliseconds;
-    using budget_keeper_type = budget_keeper<typename Platform::budgets>;
+    using ledger_writer_type = ledger_writer<typename Platform::budgets>;
+    using ledger_client_type = ledger_client<ledger_writer_type>;
+    using budget_keeper_type = budget_keeper<ledger_client_type>;
     using core = gateway_core<typename Platform::protocol, budget_keeper_type>;
 
     static constexpr milliseconds flush_interval{100};  ///< Of the log.
@@ -56,8 +60,9 @@
         : context_(context), settings_(std::move(settings)), log_(log), metrics_(metrics),
           control_pool_(context), paths_(control_pool_, settings_.store, sink()), objects_(paths_),
           incarnation_(settings_.name + "/" + random_id()),
-          budgets_(context, typename Platform::budgets(paths_), {incarnation_, settings_.notice_listen},
-                   settings_.allowances, sink()),
+          own_ledger_(context, typename Platform::budgets(paths_), sink()),
+          ledger_(control_pool_, own_ledger_, sink()),
+          budgets_(context, ledger_, {incarnation_, settings_.notice_listen}, settings_.allowances, sink()),
           core_(context, budgets_, log, metrics, settings_.retries, incarnation_) {}
 
     /// Starts to listen and to follow the store. Fails where an address cannot be bound.
@@ -104,7 +109,9 @@
     connection_pool control_pool_; ///< To the store, relays and peers.
     store_paths paths_;
     typename Platform::objects objects_;
-    std::string incarnation_; ///< Names this start of the process.
+    std::string incarnation_;       ///< Names this start of the process.
+    ledger_writer_type own_ledger_; ///< For when no relay answers.
+    ledger_client_type ledger_;
     budget_keeper_type budgets_;
     core core_;
     std::optional<tcp::acceptor> acceptor_;
--- a/src/gateway/internal/gateway_following.h
+++ b/src/gateway/internal/gateway_following.h
@@ -135,6 +135,7 @@
     if (near.empty()) {
         near.assign(announced_relays_.begin(), announced_relays_.end());
     }
+    ledger_.set_relays(near);
     paths_.set_relays(std::move(near));
 }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,7 +1,6 @@
 #include "relay/relay.h"
 
 #include "net/http_call.h"
-#include "net/http_service.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,18 +32,29 @@
 
 } // namespace
 
-relay::relay(asio::io_context& context, relay_settings settings, event_log& log, metrics_registry& metrics)
-    : context_(context), settings_(std::move(settings)), log_(log), metrics_(metrics), pool_(context) {}
+relay::relay(asio::io_context& context, relay_settings settings, event_log& log, metrics_registry& metrics,
+             http_service::handler serve_ledger)
+    : context_(context), settings_(std::move(settings)), log_(log), metrics_(metrics),
+      serve_ledger_(std::move(serve_ledger)), pool_(context) {}
 
 result<done> relay::start() {
     const auto started = http_service::start(
-        context_, settings_.listen, [this](text_request request) { return pass_on(std::move(request)); });
+        context_, settings_.listen, [this](text_request request) { return answer(std::move(request)); });
     if (started) {
         asio::co_spawn(context_, announce(), asio::detached);
     }
     return started;
 }
 
+task<text_reply> relay::answer(text_request request) {
+    const bool to_ledger = request.method() == http::verb::post && request.target() == ledger_path;
+    if (to_ledger) {
+        metrics_.count("ledger_requests");
+        co_return co_await serve_ledger_(std::move(request));
+    }
+    co_return co_await pass_on(std::move(request));
+}
+
 task<text_reply> relay::pass_on(text_request request) {
     if (in_progress_ >= most_calls_in_progress) {
         metrics_.count("relayed_calls", {{"outcome", "overloaded"}});
--- a/test/gateway/budget_keeper_test.cpp
+++ b/test/gateway/budget_keeper_test.cpp
@@ -1,6 +1,6 @@
 /// Budgets that several routers draw on while writes are lost, late and repeated, and routers die.
 ///
-/// The checker knows nothing of the keeper: it adds up what requests used, and compares with what was paid.
+/// The checker adds up what requests used and what routers still hold, and compares with what was paid.
 
 #include "budgets/budget_keeper.h"
 #include "faulty_ledger.h"
@@ -8,13 +8,14 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <vector>
 
 namespace eelgrassgw {
 namespace {
 
 using namespace std::chrono_literals;
-using keeper = budget_keeper<faulty_ledger>;
+using keeper = budget_keeper<faulty_way>;
 
 constexpr tokens prepaid = 20000;
 
@@ -22,25 +23,41 @@
     return fleet_configuration::builder(version).add(customer{"c", {"k"}, {}, amount}).build();
 }
 
-std::unique_ptr<keeper> make_keeper(asio::io_context& context, std::shared_ptr<shared_ledger> ledger,
-                                    const std::string& name) {
-    auto made = std::make_unique<keeper>(context, faulty_ledger(std::move(ledger)), ledger_identity{name, ""},
-                                         allowance_policy{}, [](const char*, Json::Value) {});
-    made->use(with_prepaid(prepaid));
-    asio::co_spawn(context, made->run(), asio::detached);
-    return made;
+/// A router's keeper with its way to the ledger.
+struct keeper_process {
+    keeper_process(asio::io_context& context, std::shared_ptr<shared_ledger> ledger,
+                   std::vector<std::shared_ptr<faulty_writer>> writers, const std::string& name)
+        : way(std::move(ledger), std::move(writers)),
+          budgets(context, way, ledger_identity{name, ""}, allowance_policy{},
+                  [](const char*, Json::Value) {}) {
+        budgets.use(with_prepaid(prepaid));
+        asio::co_spawn(context, budgets.run(), asio::detached);
+    }
+
+    faulty_way way;
+    keeper budgets;
+};
+
+std::shared_ptr<faulty_writer> make_writer(asio::io_context& context, std::shared_ptr<shared_ledger> ledger) {
+    return std::make_shared<faulty_writer>(context, faulty_ledger(std::move(ledger)),
+                                           [](const char*, Json::Value) {});
 }
 
 class budget_keeper_test : public ::testing::Test {
 protected:
-    std::unique_ptr<keeper> start(const std::string& name) { return make_keeper(context, ledger, name); }
+    keeper* start(const std::string& name) {
+        processes.push_back(std::make_unique<keeper_process>(context, ledger, writers, name));
+        return &processes.back()->budgets;
+    }
 
     asio::io_context context;
     std::shared_ptr<shared_ledger> ledger = std::make_shared<shared_ledger>();
+    std::vector<std::shared_ptr<faulty_writer>> writers{make_writer(context, ledger)};
+    std::vector<std::unique_ptr<keeper_process>> processes;
 };
 
 TEST_F(budget_keeper_test, first_request_takes_from_the_ledger) {
-    const auto router = start("a");
+    keeper* const router = start("a");
     run_task(context, [&]() -> task<void> {
         EXPECT_EQ(reservation_verdict::reserved, co_await router->reserve("c", 500, 1000ms));
     });
@@ -48,7 +65,7 @@
 }
 
 TEST_F(budget_keeper_test, request_beyond_the_budget_is_exhausted) {
-    const auto router = start("a");
+    keeper* const router = start("a");
     run_task(context, [&]() -> task<void> {
         EXPECT_EQ(reservation_verdict::exhausted, co_await router->reserve("c", prepaid + 1, 1000ms));
     });
@@ -56,14 +73,14 @@
 
 TEST_F(budget_keeper_test, request_without_ledger_is_unknown_not_exhausted) {
     ledger->down = true;
-    const auto router = start("a");
+    keeper* const router = start("a");
     run_task(context, [&]() -> task<void> {
         EXPECT_EQ(reservation_verdict::unknown, co_await router->reserve("c", 500, 300ms));
     });
 }
 
 TEST_F(budget_keeper_test, top_up_is_spendable) {
-    const auto router = start("a");
+    keeper* const router = start("a");
     run_task(context, [&]() -> task<void> {
         EXPECT_EQ(reservation_verdict::reserved, co_await router->reserve("c", prepaid, 1000ms));
         router->use(with_prepaid(prepaid + 700, 2));
@@ -72,8 +89,8 @@
 }
 
 TEST_F(budget_keeper_test, last_tokens_reach_the_router_that_asks) {
-    const auto a = start("a");
-    const auto b = start("b");
+    keeper* const a = start("a");
+    keeper* const b = start("b");
     run_task(context, [&]() -> task<void> {
         EXPECT_EQ(reservation_verdict::reserved, co_await a->reserve("c", 100, 1000ms));
         a->settle("c", 100, 0);
@@ -84,7 +101,7 @@
 
 TEST_F(budget_keeper_test, grant_whose_answer_was_lost_is_found_again) {
     ledger->faults.lost = 100;
-    const auto router = start("a");
+    keeper* const router = start("a");
     run_task(context, [&]() -> task<void> {
         (void)co_await router->reserve("c", prepaid, 100ms);
         ledger->faults.lost = 0;
@@ -96,37 +113,64 @@
 /// One fleet on one ledger, and what its requests used.
 struct schedule {
     std::shared_ptr<shared_ledger> ledger = std::make_shared<shared_ledger>();
-    std::vector<std::shared_ptr<keeper>> dead; ///< Kept, as a paused process would be, and still asked.
-    std::vector<std::shared_ptr<keeper>> routers;
+    std::vector<std::shared_ptr<faulty_writer>> writers;
+    std::vector<std::shared_ptr<keeper_process>>
+        dead; ///< Kept, as a paused process would be, and still asked.
+    std::vector<std::shared_ptr<keeper_process>> routers;
     tokens used = 0;
     int served = 0;
+
+    /// What requests used, and what routers, paused ones too, could still let requests use.
+    tokens usable() const {
+        tokens sum = used;
+        for (const auto* processes : {&routers, &dead}) {
+            for (const auto& each : *processes) {
+                sum += each->budgets.view("c").available;
+            }
+        }
+        return sum;
+    }
 };
 
-task<void> serve_one(std::shared_ptr<schedule> fleet, std::shared_ptr<keeper> router) {
+task<void> serve_one(std::shared_ptr<schedule> fleet, std::shared_ptr<keeper_process> router) {
     const tokens most = 50 + tokens(fleet->ledger->random() % 800);
-    if (co_await router->reserve("c", most, 200ms) != reservation_verdict::reserved) {
+    if (co_await router->budgets.reserve("c", most, 200ms) != reservation_verdict::reserved) {
         co_return;
     }
     co_await sleep_for(std::chrono::milliseconds(fleet->ledger->random() % 30));
     const tokens used = tokens(fleet->ledger->random() % std::uint64_t(most + 1));
     fleet->used += used;
     ++fleet->served;
-    router->settle("c", most, used);
+    router->budgets.settle("c", most, used);
+}
+
+task<void> stop(std::shared_ptr<keeper_process> router) {
+    (void)co_await router->budgets.give_back();
 }
 
-/// Requests at random routers; now and then a router dies with its allowance and another starts.
+/// Requests at random routers; now and then a router dies with its allowance, or stops as planned, and
+/// another starts.
 task<void> play(asio::io_context& context, std::shared_ptr<schedule> fleet) {
     constexpr int steps = 150;
     constexpr int routers = 3;
+    for (int i = 0; i < 2; ++i) {
+        fleet->writers.push_back(make_writer(context, fleet->ledger));
+    }
+    const auto start = [&](const std::string& name) {
+        return std::make_shared<keeper_process>(context, fleet->ledger, fleet->writers, name);
+    };
     for (int i = 0; i < routers; ++i) {
-        fleet->routers.push_back(make_keeper(context, fleet->ledger, "router-" + std::to_string(i)));
+        fleet->routers.push_back(start("router-" + std::to_string(i)));
     }
     for (int i = 0; i < steps; ++i) {
         auto& random = fleet->ledger->random;
         auto& chosen = fleet->routers[random() % routers];
-        if (random() % 40 == 0) {
+        if (random() % 20 == 0) {
+            if (random() % 2 == 0) {
+                asio::co_spawn(context, stop(chosen), asio::detached);
+            }
             fleet->dead.push_back(chosen);
-            chosen = make_keeper(context, fleet->ledger, "router-again-" + std::to_string(i));
+            chosen = start("router-again-" + std::to_string(i));
         }
         fleet->ledger->down = random() % 30 == 0;
         const bool at_paused = !fleet->dead.empty() && random() % 10 == 0;
@@ -149,10 +193,10 @@
         fleets.push_back(fleet);
         asio::co_spawn(context, play(context, fleet), asio::detached);
     }
-    context.run_for(std::chrono::seconds(5));
+    context.run_for(std::chrono::seconds(3));
     int overspent = 0;
     for (const auto& fleet : fleets) {
-        overspent += fleet->used > prepaid || fleet->ledger->most_taken["c"] > prepaid ? 1 : 0;
+        overspent += fleet->usable() > prepaid || fleet->ledger->most_taken["c"] > prepaid ? 1 : 0;
         if (served != nullptr) {
             *served += fleet->served;
         }
@@ -166,17 +210,30 @@
     EXPECT_GT(served, 300 * 10) << "the schedules hardly served anything";
 }
 
-TEST(budget_schedules, checker_finds_writes_without_a_condition) {
-    EXPECT_GT(count_overspent(1, 60, ledger_defect::ignores_revision), 0);
-}
+class defect_test : public ::testing::TestWithParam<ledger_defect> {};
 
-TEST(budget_schedules, checker_finds_lost_answers_taken_for_applied) {
-    EXPECT_GT(count_overspent(1, 60, ledger_defect::lost_as_applied), 0);
+TEST_P(defect_test, checker_finds_a_deliberate_fault) {
+    EXPECT_GT(count_overspent(1, 60, GetParam()), 0);
 }
 
-TEST(budget_schedules, checker_finds_conflicts_taken_for_applied) {
-    EXPECT_GT(count_overspent(1, 60, ledger_defect::conflict_as_applied), 0);
+std::string name_of_defect(const ::testing::TestParamInfo<ledger_defect>& info) {
+    constexpr std::array names = {"none",
+                                  "store_ignores_revision",
+                                  "unknown_as_applied",
+                                  "limit_ignored",
+                                  "reduction_not_told",
+                                  "return_written_twice",
+                                  "return_applied_again"};
+    return names.at(static_cast<std::size_t>(info.param));
 }
 
+INSTANTIATE_TEST_SUITE_P(budget_schedules, defect_test,
+                         ::testing::Values(ledger_defect::store_ignores_revision,
+                                           ledger_defect::unknown_as_applied, ledger_defect::limit_ignored,
+                                           ledger_defect::reduction_not_told,
+                                           ledger_defect::return_written_twice,
+                                           ledger_defect::return_applied_again),
+                         name_of_defect);
+
 } // namespace
 } // namespace eelgrassgw
--- a/test/gateway/following_test.cpp
+++ b/test/gateway/following_test.cpp
@@ -1,6 +1,7 @@
 /// The configuration and the list of backend servers as they change, and a store that comes and goes.
 
 #include "gateway_fixture.h"
+#include "relay/ledger_endpoint.h"
 #include "relay/relay.h"
 
 namespace eelgrassgw {
@@ -133,9 +134,12 @@
         own.listen = next_loopback_address();
         own.store = store.address();
         own.peers = {settings.peer_listen};
-        passing = std::make_unique<relay>(context, own, log, metrics);
+        ledger = std::make_unique<ledger_endpoint<platform::budget_store>>(context, own.store,
+                                                                           [](const char*, Json::Value) {});
+        passing = std::make_unique<relay>(context, own, log, metrics, ledger->handler());
         ASSERT_TRUE(passing->start().ok());
     }
+    std::unique_ptr<ledger_endpoint<platform::budget_store>> ledger;
     std::unique_ptr<relay> passing;
 };
 
--- /dev/null
+++ b/test/gateway/ledger_writer_test.cpp
@@ -0,0 +1,162 @@
+/// How requests of many routers become writes to the ledger.
+
+#include "budgets/ledger_writer.h"
+#include "faulty_ledger.h"
+#include "task_runner.h"
+
+#include <gtest/gtest.h>
+
+namespace eelgrassgw {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr tokens prepaid = 1000;
+
+ledger_request take(const std::string& router, tokens amount, std::uint64_t sequence = 1,
+                    std::uint64_t previous = 0) {
+    ledger_request request;
+    request.router = router;
+    request.sequence = sequence;
+    request.previous = previous;
+    request.changes["c"] = {amount, prepaid};
+    return request;
+}
+
+ledger_request look(const std::string& router) {
+    ledger_request request;
+    request.router = router;
+    return request;
+}
+
+class ledger_writer_test : public ::testing::Test {
+protected:
+    /// Submits all at once and returns the outcomes, in order.
+    std::vector<ledger_outcome> submit(const std::vector<ledger_request>& requests) {
+        std::vector<ledger_outcome> outcomes(requests.size());
+        std::size_t ended = 0;
+        run_task(context, [&]() -> task<void> {
+            for (std::size_t i = 0; i < requests.size(); ++i) {
+                asio::co_spawn(context, submit_one(requests[i], outcomes[i], ended), asio::detached);
+            }
+            while (ended < requests.size()) {
+                co_await sleep_for(1ms);
+            }
+        });
+        return outcomes;
+    }
+
+    task<void> submit_one(const ledger_request& request, ledger_outcome& outcome, std::size_t& ended) {
+        outcome = co_await writer.submit(request);
+        ++ended;
+    }
+
+    tokens taken() const { return ledger->stored.ledger.taken_by_all("c"); }
+
+    asio::io_context context;
+    std::shared_ptr<shared_ledger> ledger = std::make_shared<shared_ledger>();
+    faulty_writer writer{context, faulty_ledger(ledger), [](const char*, Json::Value) {
+                         }};
+};
+
+TEST_F(ledger_writer_test, requests_of_many_routers_share_one_write) {
+    std::vector<ledger_request> requests;
+    for (int i = 0; i < 20; ++i) {
+        requests.push_back(take("router-" + std::to_string(i), 10));
+    }
+    for (const ledger_outcome& outcome : submit(requests)) {
+        EXPECT_EQ(ledger_outcome::kind::applied, outcome.how);
+    }
+    EXPECT_EQ(1, ledger->writes);
+    EXPECT_EQ(200, taken());
+}
+
+TEST_F(ledger_writer_test, grants_stop_at_what_is_prepaid_and_say_so) {
+    const auto outcomes = submit({take("a", 700), take("b", 700)});
+    EXPECT_EQ(prepaid, taken());
+    const auto last = outcomes[1].now.ledger.last_write("b");
+    EXPECT_EQ(300, last.granted("c", 700));
+}
+
+TEST_F(ledger_writer_test, repeated_request_is_applied_once) {
+    submit({take("a", 100)});
+    const auto again = submit({take("a", 100)});
+    EXPECT_EQ(ledger_outcome::kind::applied, again[0].how);
+    EXPECT_EQ(100, taken());
+}
+
+TEST_F(ledger_writer_test, request_after_another_write_of_its_router_is_refused) {
+    submit({take("a", 100, 2, 0)});
+    const auto late = submit({take("a", 100, 1, 0)});
+    EXPECT_EQ(ledger_outcome::kind::refused, late[0].how);
+    EXPECT_EQ(2U, late[0].now.ledger.last_write("a").sequence);
+    EXPECT_EQ(100, taken());
+}
+
+TEST_F(ledger_writer_test, refusal_rests_on_the_ledger_as_it_is_not_as_it_was_known) {
+    submit({take("a", 100, 1, 0)});
+    budget_ledger elsewhere = ledger->stored.ledger; // Another writer's work.
+    elsewhere.writers["a"].sequence = 2;
+    ledger->apply(elsewhere, ledger->stored.revision);
+    const auto next = submit({take("a", 50, 3, 2)});
+    EXPECT_EQ(ledger_outcome::kind::applied, next[0].how);
+    EXPECT_EQ(150, taken());
+}
+
+TEST_F(ledger_writer_test, two_writers_lose_nothing_of_each_other) {
+    faulty_writer other(context, faulty_ledger(ledger), [](const char*, Json::Value) {});
+    run_task(context, [&]() -> task<void> {
+        for (std::uint64_t i = 1; i <= 10; ++i) {
+            const ledger_request a = take("a", 10, i, i - 1);
+            const ledger_request b = take("b", 10, i, i - 1);
+            (void)co_await writer.submit(a);
+            (void)co_await other.submit(b);
+        }
+    });
+    EXPECT_EQ(200, taken());
+}
+
+TEST_F(ledger_writer_test, request_while_the_store_is_away_ends_as_unknown) {
+    ledger->down = true;
+    const auto outcomes = submit({take("a", 100)});
+    EXPECT_EQ(ledger_outcome::kind::unknown, outcomes[0].how);
+    EXPECT_FALSE(outcomes[0].why.empty());
+}
+
+TEST_F(ledger_writer_test, look_shows_the_ledger_and_writes_nothing) {
+    submit({take("a", 100)});
+    const auto outcomes = submit({look("b")});
+    EXPECT_EQ(ledger_outcome::kind::applied, outcomes[0].how);
+    EXPECT_EQ(100, outcomes[0].now.ledger.taken_by_all("c"));
+    EXPECT_EQ(1, ledger->writes);
+}
+
+TEST(ledger_request_test, survives_the_wire) {
+    ledger_request sent = take("a", -5, 8, 7);
+    sent.is_urgent = true;
+    sent.notice_address = "127.0.0.1:9";
+    const auto read = parse_ledger_request(to_json(sent));
+    ASSERT_TRUE(read.ok()) << read.error().text();
+    EXPECT_EQ(to_text(to_json(sent)), to_text(to_json(read.value())));
+}
+
+TEST(ledger_request_test, names_the_field_that_cannot_be_used) {
+    Json::Value document = to_json(take("a", 5));
+    document["previous"] = "x";
+    const auto read = parse_ledger_request(document);
+    ASSERT_FALSE(read.ok());
+    EXPECT_NE(std::string::npos, read.error().message.find("\"previous\"")) << read.error().text();
+}
+
+TEST(ledger_outcome_test, carries_reduced_grants) {
+    ledger_outcome outcome;
+    outcome.how = ledger_outcome::kind::applied;
+    outcome.now.revision = 4;
+    outcome.now.ledger.change("a", {1, 0, "", {}}, {{"c", {700, 100}}});
+    const auto read = parse_ledger_outcome(to_json(outcome));
+    ASSERT_TRUE(read.ok()) << read.error().text();
+    EXPECT_EQ(100, read.value().now.ledger.last_write("a").granted("c", 700));
+}
+
+} // namespace
+} // namespace eelgrassgw
