Writes to the ledger keep 20 ms apart, and a watch waits 100 ms after a change

Change: ledger_writer waits 20 ms after a batch also for urgent requests; the first of a quiet time still goes at once. object_follower sleeps 100 ms after a change before it watches on; bounds of the configuration are 2 s and more.

--- a/src/budgets/ledger_writer.h
+++ b/src/budgets/ledger_writer.h
@@ -27,6 +27,7 @@
     using clock = std::chrono::steady_clock;
 
     static constexpr std::chrono::milliseconds gather{50};       ///< Wait for others, where nobody is urgent.
+    static constexpr std::chrono::milliseconds spacing{20};      ///< Between writes, also where callers wait.
     static constexpr std::chrono::milliseconds fresh_enough{40}; ///< Age up to which a look needs no reading.
     static constexpr int most_conflicts = 8;                     ///< Of one write.
     static constexpr std::size_t most_waiting = 1024;            ///< Requests; further ones end as unknown.
@@ -47,6 +48,7 @@
 
     task<void> work_off();
     task<void> gather_more();
+    bool anyone_is_urgent() const;
     task<void> settle_all(batch all);
     task<bool> read();
     task<bool> write_once(const batch& all);
@@ -66,7 +68,8 @@
     event_sink_function log_;
     versioned_ledger known_;
     clock::time_point known_at_{};
-    std::string error_; ///< Of the last call to the store that failed.
+    clock::time_point worked_at_{}; ///< End of the last batch.
+    std::string error_;             ///< Of the last call to the store that failed.
     batch waiting_;
     bool working_ = false;
     asio::steady_timer gathering_;
@@ -101,20 +104,29 @@
         batch all;
         all.swap(waiting_);
         co_await settle_all(std::move(all));
+        worked_at_ = clock::now();
     }
     working_ = false;
 }
 
 template <ledger_store Store>
 task<void> ledger_writer<Store>::gather_more() {
-    const bool urgent = std::any_of(waiting_.begin(), waiting_.end(),
-                                    [](const auto& each) { return each->request.is_urgent; });
-    if (urgent) {
-        co_return;
+    const auto begun = clock::now();
+    for (;;) {
+        const auto until = anyone_is_urgent() ? worked_at_ + spacing : begun + gather;
+        if (clock::now() >= until) {
+            co_return;
+        }
+        gathering_.expires_at(until);
+        net_error ec; // An urgent request ends the wait, and the next turn finds out for how long to go on.
+        co_await gathering_.async_wait(with_error(ec));
     }
-    gathering_.expires_after(gather);
-    net_error ec;
-    co_await gathering_.async_wait(with_error(ec));
+}
+
+template <ledger_store Store>
+bool ledger_writer<Store>::anyone_is_urgent() const {
+    return std::any_of(waiting_.begin(), waiting_.end(),
+                       [](const auto& each) { return each->request.is_urgent; });
 }
 
 template <ledger_store Store>
--- a/src/store/object_follower.h
+++ b/src/store/object_follower.h
@@ -27,6 +27,7 @@
 
     static constexpr std::chrono::milliseconds poll{2000};   ///< Longest wait of one watch.
     static constexpr std::chrono::milliseconds pause{100};   ///< After a failure.
+    static constexpr std::chrono::milliseconds gather{100};  ///< After a change, as more may follow.
     static constexpr std::chrono::milliseconds outage{1000}; ///< Silence that counts as an outage.
     static constexpr std::chrono::milliseconds aftermath{
         2000}; ///< Entries come back this long after an outage.
@@ -78,6 +79,9 @@
             callbacks_.changed(change, after_outage());
         }
         revision_ = std::max(revision_, changes.value().revision);
+        if (!changes.value().changes.empty()) {
+            co_await sleep_for(gather);
+        }
         co_return true;
     }
 
--- a/test/gateway/ledger_writer_test.cpp
+++ b/test/gateway/ledger_writer_test.cpp
@@ -116,6 +116,36 @@
     EXPECT_EQ(200, taken());
 }
 
+TEST_F(ledger_writer_test, stream_of_urgent_requests_becomes_few_writes) {
+    constexpr std::uint64_t requests = 100;
+    run_task(context, [&]() -> task<void> {
+        ledger_outcome outcome;
+        std::size_t ended = 0;
+        std::vector<ledger_request> all;
+        for (std::uint64_t i = 0; i < requests; ++i) {
+            all.push_back(take("router-" + std::to_string(i), 1));
+            all.back().is_urgent = true;
+        }
+        for (const ledger_request& each : all) {
+            asio::co_spawn(context, submit_one(each, outcome, ended), asio::detached);
+            co_await sleep_for(2ms);
+        }
+        while (ended < requests) {
+            co_await sleep_for(1ms);
+        }
+    });
+    EXPECT_EQ(tokens(requests), taken());
+    EXPECT_LE(ledger->writes, 25);
+}
+
+TEST_F(ledger_writer_test, urgent_request_does_not_wait_for_others_to_gather) {
+    ledger_request urgent = take("a", 10);
+    urgent.is_urgent = true;
+    const auto begun = std::chrono::steady_clock::now();
+    submit({urgent});
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, faulty_writer::gather);
+}
+
 TEST_F(ledger_writer_test, request_while_the_store_is_away_ends_as_unknown) {
     ledger->down = true;
     const auto outcomes = submit({take("a", 100)});
