A look that is answered at once ends, and a relay tells that the store is slow

A look that needs no call ended before its task waited, so the wake-up was lost and the request hung: work begun by co_spawn runs at once. (2) While the store took 372 ms for a call, two calls in a row were longer than a router waits, so it went on to a second and third relay, whose writes met conflicts. Ruled out: relays that lost the store (no line), packets lost (no such fault then). Change: ledger_writer waits only while no outcome is there, and answers after 450 ms that it still tries; a router then asks the same relay again, up to 3 s.

--- a/src/budgets/ledger_request.h
+++ b/src/budgets/ledger_request.h
@@ -34,7 +34,8 @@
     };
     kind how = kind::unknown;
     versioned_ledger now;
-    std::string why; ///< For `unknown`: the error.
+    std::string why;           ///< For `unknown`: the error.
+    bool still_trying = false; ///< For `unknown`: the writer goes on, so the same request may be sent again.
 };
 
 /// Whoever takes requests to the ledger.
--- a/src/budgets/ledger_writer.h
+++ b/src/budgets/ledger_writer.h
@@ -29,13 +29,14 @@
     static constexpr std::chrono::milliseconds gather{50};       ///< Wait for others, where nobody is urgent.
     static constexpr std::chrono::milliseconds spacing{20};      ///< Between writes, also where callers wait.
     static constexpr std::chrono::milliseconds fresh_enough{40}; ///< Age up to which a look needs no reading.
+    static constexpr std::chrono::milliseconds patience{450};    ///< A request waits so long for its end.
     static constexpr int most_conflicts = 8;                     ///< Of one write.
     static constexpr std::size_t most_waiting = 1024;            ///< Requests; further ones end as unknown.
 
     ledger_writer(asio::io_context& context, Store store, event_sink_function log)
         : context_(context), store_(std::move(store)), log_(std::move(log)), gathering_(context) {}
 
-    /// Returns when the request has ended. Precondition: this object outlives the task.
+    /// Returns when the request has ended, or after `patience`. Precondition: this object outlives the task.
     task<ledger_outcome> submit(const ledger_request& request);
 
 private:
@@ -82,8 +83,8 @@
         unknown.why = "too many requests wait for the ledger";
         co_return unknown;
     }
-    auto own = std::make_shared<pending>(
-        pending{request, std::nullopt, asio::steady_timer(context_, clock::time_point::max())});
+    auto own =
+        std::make_shared<pending>(pending{request, std::nullopt, asio::steady_timer(context_, patience)});
     waiting_.push_back(own);
     if (request.is_urgent) {
         gathering_.cancel();
@@ -92,8 +93,16 @@
         working_ = true;
         asio::co_spawn(context_, work_off(), asio::detached);
     }
-    net_error ec;
-    co_await own->ended.async_wait(with_error(ec));
+    if (!own->outcome.has_value()) { // The work may have been done at once.
+        net_error ec;
+        co_await own->ended.async_wait(with_error(ec));
+    }
+    if (!own->outcome.has_value()) {
+        ledger_outcome unknown;
+        unknown.why = "the store has not answered yet";
+        unknown.still_trying = true;
+        co_return unknown;
+    }
     co_return *own->outcome;
 }
 
--- a/src/relay/ledger_client.h
+++ b/src/relay/ledger_client.h
@@ -25,8 +25,10 @@
     using milliseconds = std::chrono::milliseconds;
 
     static constexpr milliseconds connect_limit{150}; ///< To a relay.
-    static constexpr milliseconds reply_limit{650};   ///< Longer than a relay waits for the store.
-    static constexpr milliseconds first_rest{1000};   ///< A relay that failed is left alone for this.
+    static constexpr milliseconds reply_limit{
+        650}; ///< Of a relay, which answers in time also where the store is slow.
+    static constexpr milliseconds patience{3000};   ///< With a store that is slow.
+    static constexpr milliseconds first_rest{1000}; ///< A relay that failed is left alone for this.
     static constexpr milliseconds longest_rest{8000};
     static constexpr std::size_t most_relays = 2; ///< Tried for one request.
 
@@ -68,16 +70,24 @@
 
 template <ledger_service Own>
 task<ledger_outcome> ledger_client<Own>::submit(const ledger_request& request) {
+    const auto give_up = clock::now() + patience;
     const std::vector<std::string> relays = sound_relays();
     for (const std::string& relay : relays) {
         result<ledger_outcome> outcome = co_await ask(relay, request);
+        while (outcome && outcome.value().still_trying && clock::now() < give_up) {
+            outcome = co_await ask(relay, request);
+        }
         if (outcome) {
             note_success(relay);
             co_return std::move(outcome.value());
         }
         note_failure(relay, outcome.error().text());
     }
-    co_return co_await own_.submit(request);
+    ledger_outcome outcome = co_await own_.submit(request);
+    while (outcome.still_trying && clock::now() < give_up) {
+        outcome = co_await own_.submit(request);
+    }
+    co_return outcome;
 }
 
 template <ledger_service Own>
@@ -103,6 +113,12 @@
     if (!reply) {
         co_return reply.error();
     }
+    if (reply.value().result() == http::status::accepted) {
+        ledger_outcome slow;
+        slow.why = "relay " + relay + " waits for the store";
+        slow.still_trying = true;
+        co_return slow;
+    }
     if (reply.value().result() != http::status::ok) {
         co_return make_failure(errc::outcome_unknown, "ask relay for the ledger", relay,
                                "status " + std::to_string(reply.value().result_int()) + ": " +
--- a/test/gateway/faulty_ledger.h
+++ b/test/gateway/faulty_ledger.h
@@ -41,6 +41,7 @@
     ledger_faults faults;
     ledger_defect defect = ledger_defect::none;
     bool down = false;
+    std::chrono::milliseconds slow{0}; ///< Added to each call.
     int writes = 0;
     std::map<std::string, tokens> most_taken; ///< The most that each customer's `taken` ever was.
 
@@ -66,7 +67,7 @@
     explicit faulty_ledger(std::shared_ptr<shared_ledger> shared) : shared_(std::move(shared)) {}
 
     task<result<versioned_ledger>> read() {
-        co_await sleep_for(std::chrono::milliseconds(1));
+        co_await sleep_for(std::chrono::milliseconds(1) + shared_->slow);
         if (shared_->down || shared_->hits(shared_->faults.unreachable)) {
             co_return make_failure(errc::unreachable, "read ledger", "fake", "down");
         }
@@ -74,7 +75,7 @@
     }
 
     task<ledger_write> write(budget_ledger next, std::uint64_t expected) {
-        co_await sleep_for(std::chrono::milliseconds(1 + shared_->random() % 3));
+        co_await sleep_for(std::chrono::milliseconds(1 + shared_->random() % 3) + shared_->slow);
         ledger_write written;
         written.why = "no answer";
         if (shared_->down || shared_->hits(shared_->faults.unreachable)) {
--- a/test/gateway/ledger_client_test.cpp
+++ b/test/gateway/ledger_client_test.cpp
@@ -30,7 +30,8 @@
         const auto asked = parse_ledger_request(parse_json(request.body()).value());
         ++at_relays;
         const ledger_outcome outcome = co_await joint.submit(asked.value());
-        co_return make_reply(http::status::ok, "application/json", to_text(to_json(outcome)));
+        const auto status = outcome.still_trying ? http::status::accepted : http::status::ok;
+        co_return make_reply(status, "application/json", to_text(to_json(outcome)));
     }
 
     ledger_outcome submit(std::uint64_t sequence) {
@@ -82,6 +83,14 @@
     EXPECT_EQ(10, taken());
 }
 
+TEST_F(ledger_client_test, relay_at_a_slow_store_is_asked_on_and_no_other) {
+    ledger->slow = 400ms;
+    client.set_relays({start_relay(), start_relay()});
+    EXPECT_EQ(ledger_outcome::kind::applied, submit(1).how);
+    EXPECT_EQ(10, taken());
+    EXPECT_EQ(1, ledger->writes);
+}
+
 TEST_F(ledger_client_test, relay_that_failed_is_left_alone_for_a_while) {
     client.set_relays({start_relay(900ms)});
     submit(1);
--- a/test/gateway/ledger_writer_test.cpp
+++ b/test/gateway/ledger_writer_test.cpp
@@ -161,6 +161,26 @@
     EXPECT_EQ(1, ledger->writes);
 }
 
+TEST_F(ledger_writer_test, look_right_after_a_write_needs_no_call_and_ends) {
+    run_task(context, [&]() -> task<void> {
+        const ledger_request first = take("a", 100);
+        (void)co_await writer.submit(first);
+        ledger_request second = look("b");
+        second.is_urgent = true;
+        co_await sleep_for(faulty_writer::spacing);
+        ledger->down = true;
+        const ledger_outcome outcome = co_await writer.submit(second);
+        EXPECT_EQ(ledger_outcome::kind::applied, outcome.how);
+    });
+}
+
+TEST_F(ledger_writer_test, request_at_a_slow_store_says_that_it_is_still_tried) {
+    ledger->slow = 600ms;
+    const auto first = submit({take("a", 100)});
+    EXPECT_EQ(ledger_outcome::kind::unknown, first[0].how);
+    EXPECT_TRUE(first[0].still_trying);
+}
+
 TEST(ledger_request_test, survives_the_wire) {
     ledger_request sent = take("a", -5, 8, 7);
     sent.is_urgent = true;
