--- a/bench/hot_path_bench.cpp
+++ b/bench/hot_path_bench.cpp
@@ -1,45 +1,14 @@
 /// Time and allocations of the hot path: admit, route, settle, read a chat request, parse an agent's line.
 
+#include "allocation_counter.h"
 #include "eelgrassgw/ledger/ledger_client.h"
 #include "eelgrassgw/router/agent_call.h"
 #include "eelgrassgw/router/agent_selector.h"
 #include "eelgrassgw/router/caller_request.h"
 
-#include <benchmark/benchmark.h>
-
-#include <atomic>
-#include <cstdlib>
-#include <new>
-
-namespace {
-std::atomic<std::uint64_t> allocations{0};
-} // namespace
-
-void* operator new(std::size_t n) {
-    ++allocations;
-    void* p = std::malloc(n);
-    if (p == nullptr) {
-        throw std::bad_alloc();
-    }
-    return p;
-}
-
-void operator delete(void* p) noexcept {
-    std::free(p);
-}
-
-void operator delete(void* p, std::size_t) noexcept {
-    std::free(p);
-}
-
 namespace eelgrassgw::bench {
 namespace {
 
-void report_allocations(benchmark::State& state, std::uint64_t before) {
-    state.counters["allocations"] =
-        static_cast<double>(allocations - before) / static_cast<double>(state.iterations());
-}
-
 void admit_and_settle(benchmark::State& state) {
     allowance_book book;
     const auto budgets = static_cast<int>(state.range(0));
@@ -47,7 +16,7 @@
         book.add_grant("budget-" + std::to_string(i), 1000000000);
     }
     const std::string budget = "budget-" + std::to_string(budgets / 2);
-    const std::uint64_t before = allocations;
+    const std::uint64_t before = allocations();
     for (auto _ : state) {
         benchmark::DoNotOptimize(book.reserve(budget, 300, std::chrono::steady_clock::now()));
         book.settle(budget, 300, 100);
@@ -67,7 +36,7 @@
         agent.incarnation = agent.backend_server + "-x";
         agents.push_back(agent);
     }
-    const std::uint64_t before = allocations;
+    const std::uint64_t before = allocations();
     for (auto _ : state) {
         benchmark::DoNotOptimize(
             selector.order(agents, {"request", 17}, false, std::chrono::steady_clock::now()));
@@ -78,7 +47,7 @@
 
 void parse_agent_line(benchmark::State& state) {
     const std::string line = R"({"offset":9,"text":"055117-1 ","type":"chunk"})";
-    const std::uint64_t before = allocations;
+    const std::uint64_t before = allocations();
     for (auto _ : state) {
         stream_position position;
         position.accepted = true;
