A relay that waits for a slow store says so, and refills begin before a slow write's time is used up

Routers went on to two more relays, whose writes met conflicts. Besides, a refill began when a fifth of 0.7 s was left, less than such a write takes. Ruled out: cuts of the relays (none lost the store). Change: ledger_endpoint answers 202 while it tries; allowance_table counts the demand during a write, up to half of the target, to what must be left. Tests: ledger_endpoint_test (the 202 failed first), refill_is_due_while..., small_allowance_is_not_refilled_all_the_time.

--- a/src/budgets/allowance_table.cpp
+++ b/src/budgets/allowance_table.cpp
@@ -14,11 +14,12 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
-/// Whether an allowance is due for a refill up to `target`.
-bool is_low(tokens available, tokens target) {
+/// Whether an allowance is due for a refill up to `target`, while demand uses up `during_refill`.
+bool is_low(tokens available, tokens target, double during_refill) {
     constexpr tokens part =
         5; // Of the target. Refills near the end lose less with a router, and cost fewer writes.
-    return available < target / part;
+    const auto most_used = target / 2; // A small allowance is not refilled all the time.
+    return available < target / part + std::min(static_cast<tokens>(during_refill), most_used);
 }
 
 } // namespace
@@ -69,10 +70,15 @@
     return of == nullptr ? 0 : of->waiting;
 }
 
-bool allowance_table::runs_low(const std::string& customer, clock::time_point now) const {
+bool allowance_table::runs_low(const std::string& customer, std::chrono::milliseconds covered,
+                               clock::time_point now) const {
     const account* of = find(customer);
-    const double full = of == nullptr ? 0 : demand_per_ms(*of, now) * double(policy_.horizon.count());
-    return of != nullptr && is_low(of->available, static_cast<tokens>(full));
+    if (of == nullptr) {
+        return false;
+    }
+    const double per_ms = demand_per_ms(*of, now);
+    const double full = per_ms * double((policy_.horizon + covered).count());
+    return is_low(of->available, static_cast<tokens>(full), per_ms * double(covered.count()));
 }
 
 allowance_change allowance_table::wanted_change(const std::string& customer, tokens unspent, int routers,
@@ -89,7 +95,8 @@
     const auto target = static_cast<tokens>(full) + of->waiting;
     if (of->available < target) {
         const tokens amount = std::min(target - of->available, free);
-        const bool low = of->available < of->waiting || is_low(of->available, target);
+        const bool low =
+            of->available < of->waiting || is_low(of->available, target, per_ms * double(covered.count()));
         return {amount, low && amount > 0};
     }
     const double scarce = unspent < 0 ? 0 : per_ms * double(policy_.scarce_horizon.count());
--- a/src/budgets/allowance_table.h
+++ b/src/budgets/allowance_table.h
@@ -53,11 +53,12 @@
     tokens reserved(const std::string& customer) const;
     tokens waiting(const std::string& customer) const;
 
-    /// Whether a router that knows no recent ledger should ask for more soon.
-    bool runs_low(const std::string& customer, clock::time_point now) const;
+    /// Whether a router that knows no recent ledger should ask for more soon; `covered` as below.
+    bool runs_low(const std::string& customer, std::chrono::milliseconds covered,
+                  clock::time_point now) const;
 
     /// What to change in the ledger, given the budget's `unspent` tokens, which may be negative, and the
-    /// number of routers that share it. `covered` is how long one write takes, which the allowance must
+    /// number of routers that share it. `covered` is how long a write may take, which the allowance must
     /// bridge too. Precondition: `routers` > 0.
     allowance_change wanted_change(const std::string& customer, tokens unspent, int routers,
                                    std::chrono::milliseconds covered, clock::time_point now) const;
--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -102,6 +102,9 @@
     };
     planned_changes plan() const;
     tokens prepaid_of(const std::string& customer) const;
+    std::chrono::milliseconds covered_time() const {
+        return 2 * round_time_;
+    } ///< A write may just have begun.
     bool must_show_presence() const { return clock::now() - written_at_ >= presence_interval; }
     task<bool> round();
     task<bool> look();
@@ -143,7 +146,7 @@
     const auto now = clock::now();
     allowances_.note_demand(customer, amount, now);
     if (allowances_.reserve(customer, amount)) {
-        if (allowances_.runs_low(customer, now)) {
+        if (allowances_.runs_low(customer, covered_time(), now)) {
             wake();
         }
         co_return reservation_verdict::reserved;
@@ -293,9 +296,9 @@
     planned_changes changes;
     const auto now = clock::now();
     for (const auto& [customer, available] : allowances_.all_available()) {
-        const allowance_change change = stopped_ ? allowance_change{-available, available > 0}
-                                                 : allowances_.wanted_change(customer, unspent(customer),
-                                                                             routers(), 2 * round_time_, now);
+        const allowance_change change =
+            stopped_ ? allowance_change{-available, available > 0}
+                     : allowances_.wanted_change(customer, unspent(customer), routers(), covered_time(), now);
         if (change.amount != 0) {
             changes.amounts[customer] = {change.amount, prepaid_of(customer)};
             changes.is_due = changes.is_due || change.is_due;
--- a/src/relay/ledger_endpoint.h
+++ b/src/relay/ledger_endpoint.h
@@ -4,6 +4,7 @@
 
 #include "budgets/ledger_writer.h"
 #include "net/http_service.h"
+#include "relay/relay_protocol.h"
 #include "store/store_paths.h"
 
 #include <string>
@@ -18,8 +19,8 @@
     ledger_endpoint(asio::io_context& context, const std::string& store, const event_sink_function& log)
         : pool_(context), paths_(pool_, store, log), writer_(context, Store(paths_), log) {}
 
-    /// Answers 200 with the outcome, 400 where the request cannot be read, and 503 where the outcome is
-    /// unknown. Precondition: this object outlives the handler's tasks.
+    /// Answers 200 with the outcome, 202 while the store has not answered, 400 where the request cannot be
+    /// read, and 503 where the outcome is unknown. Precondition: this object outlives the handler's tasks.
     http_service::handler handler() {
         return [this](text_request request) {
             return answer(std::move(request));
@@ -35,9 +36,14 @@
             co_return make_reply(http::status::bad_request, "text/plain", asked.error().text());
         }
         const ledger_outcome outcome = co_await writer_.submit(asked.value());
-        const bool known = outcome.how != ledger_outcome::kind::unknown;
-        co_return make_reply(known ? http::status::ok : http::status::service_unavailable, "application/json",
-                             to_text(to_json(outcome)));
+        co_return make_reply(status_of(outcome), "application/json", to_text(to_json(outcome)));
+    }
+
+    static http::status status_of(const ledger_outcome& outcome) {
+        if (outcome.how != ledger_outcome::kind::unknown) {
+            return http::status::ok;
+        }
+        return outcome.still_trying ? http::status::accepted : http::status::service_unavailable;
     }
 
     connection_pool pool_;
--- a/test/gateway/allowance_table_test.cpp
+++ b/test/gateway/allowance_table_test.cpp
@@ -82,5 +82,20 @@
     EXPECT_FALSE(change(10000000).is_due);
 }
 
+TEST_F(allowance_table_test, refill_is_due_while_it_lasts_as_long_as_a_slow_write) {
+    table.note_demand("c", 4000, now); // 2 tokens a millisecond, so 2000 are the target.
+    table.add("c", 900);               // 450 ms of demand, while a write takes 500 ms.
+    EXPECT_TRUE(table.wanted_change("c", 10000000, 1, 500ms, now).is_due);
+    EXPECT_TRUE(table.runs_low("c", 500ms, now));
+}
+
+TEST_F(allowance_table_test, small_allowance_is_not_refilled_all_the_time) {
+    table.note_demand("c", 4000, now);
+    table.add("c", 160);
+    const allowance_change wanted = table.wanted_change("c", 400, 1, 500ms, now);
+    EXPECT_EQ(40, wanted.amount);
+    EXPECT_FALSE(wanted.is_due);
+}
+
 } // namespace
 } // namespace eelgrassgw
--- /dev/null
+++ b/test/gateway/ledger_endpoint_test.cpp
@@ -0,0 +1,55 @@
+/// How a relay answers requests to the budget ledger.
+
+#include "gateway_fixture.h"
+#include "relay/ledger_endpoint.h"
+
+namespace eelgrassgw {
+namespace {
+
+class ledger_endpoint_test : public gateway_fixture {
+protected:
+    unsigned post(const std::string& body) {
+        unsigned status = 0;
+        run_task(context, [&]() -> task<void> {
+            text_request request(http::verb::post, ledger_path, 11);
+            request.body() = body;
+            const http_service::handler handler = endpoint.handler();
+            const text_reply reply = co_await handler(std::move(request));
+            status = reply.result_int();
+        });
+        return status;
+    }
+
+    static std::string take() {
+        ledger_request request;
+        request.router = "a";
+        request.sequence = 1;
+        request.changes["acme"] = {10, 1000};
+        return to_text(to_json(request));
+    }
+
+    ledger_endpoint<platform::budget_store> endpoint{context, store.address(), [](const char*, Json::Value) {
+                                                     }};
+};
+
+TEST_F(ledger_endpoint_test, request_that_is_written_gets_200) {
+    EXPECT_EQ(200U, post(take()));
+    EXPECT_EQ(10, taken());
+}
+
+TEST_F(ledger_endpoint_test, request_that_waits_for_the_store_gets_202) {
+    store.silent = true;
+    EXPECT_EQ(202U, post(take()));
+}
+
+TEST_F(ledger_endpoint_test, request_that_the_store_turns_away_gets_503) {
+    store.busy = true;
+    EXPECT_EQ(503U, post(take()));
+}
+
+TEST_F(ledger_endpoint_test, request_that_cannot_be_read_gets_400) {
+    EXPECT_EQ(400U, post("{}"));
+}
+
+} // namespace
+} // namespace eelgrassgw
