--- a/src/budgets/allowance_table.cpp
+++ b/src/budgets/allowance_table.cpp
@@ -65,11 +65,6 @@
     return of == nullptr ? 0 : of->reserved;
 }
 
-tokens allowance_table::waiting(const std::string& customer) const {
-    const account* of = find(customer);
-    return of == nullptr ? 0 : of->waiting;
-}
-
 bool allowance_table::runs_low(const std::string& customer, std::chrono::milliseconds covered,
                                clock::time_point now) const {
     const account* of = find(customer);
--- a/src/budgets/allowance_table.h
+++ b/src/budgets/allowance_table.h
@@ -51,7 +51,6 @@
 
     tokens available(const std::string& customer) const;
     tokens reserved(const std::string& customer) const;
-    tokens waiting(const std::string& customer) const;
 
     /// Whether a router that knows no recent ledger should ask for more soon; `covered` as below.
     bool runs_low(const std::string& customer, std::chrono::milliseconds covered,
--- a/src/budgets/ledger_writer.h
+++ b/src/budgets/ledger_writer.h
@@ -53,7 +53,7 @@
     task<void> settle_all(batch all);
     task<bool> read();
     task<bool> write_once(const batch& all);
-    bool ask_is_fresh(const batch& all) const;
+    bool known_is_enough(const batch& all) const;
     budget_ledger with_changes(const batch& all) const;
     bool applies(const ledger_request& request) const {
         return known_.ledger.last_write(request.router).sequence == request.previous;
@@ -140,7 +140,7 @@
 
 template <ledger_store Store>
 task<void> ledger_writer<Store>::settle_all(batch all) {
-    if (ask_is_fresh(all)) {
+    if (known_is_enough(all)) {
         finish(all, ledger_outcome::kind::applied, "");
         co_return;
     }
@@ -167,7 +167,7 @@
 
 /// Whether all requests of a batch only look, and what is known is young enough for that.
 template <ledger_store Store>
-bool ledger_writer<Store>::ask_is_fresh(const batch& all) const {
+bool ledger_writer<Store>::known_is_enough(const batch& all) const {
     const bool writes =
         std::any_of(all.begin(), all.end(), [](const auto& each) { return each->request.writes(); });
     return !writes && known_.revision != 0 && clock::now() - known_at_ <= fresh_enough;
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -76,7 +76,6 @@
         std::unique_ptr<connection> newest = std::move(it->second.back());
         it->second.pop_back();
         if (newest->keep_until > clock::now() && is_quiet(newest->socket)) {
-            newest->reused = true;
             return newest;
         }
     }
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -25,7 +25,6 @@
     tcp::socket socket;
     boost::beast::flat_buffer buffer; ///< Bytes that were read and not parsed yet.
     std::string peer;
-    bool reused = false;
     clock::time_point keep_until{};
 };
 
--- a/src/relay/ledger_client.h
+++ b/src/relay/ledger_client.h
@@ -25,10 +25,9 @@
     using milliseconds = std::chrono::milliseconds;
 
     static constexpr milliseconds connect_limit{150}; ///< To a relay.
-    static constexpr milliseconds reply_limit{
-        650}; ///< Of a relay, which answers in time also where the store is slow.
-    static constexpr milliseconds patience{3000};   ///< With a store that is slow.
-    static constexpr milliseconds first_rest{1000}; ///< A relay that failed is left alone for this.
+    static constexpr milliseconds reply_limit{650};   ///< Of a relay; it is in time also at a slow store.
+    static constexpr milliseconds patience{3000};     ///< With a store that is slow.
+    static constexpr milliseconds first_rest{1000};   ///< A relay that failed is left alone for this.
     static constexpr milliseconds longest_rest{8000};
     static constexpr std::size_t most_relays = 2; ///< Tried for one request.
 
