Reset connections of abandoned requests, so that a paused server does not receive them later

Change: exchange_control resets the connection instead. It does so only for a request that was given up; answers in flight on other connections are not touched.

--- a/src/gateway/exchange_control.h
+++ b/src/gateway/exchange_control.h
@@ -13,21 +13,21 @@
     /// Precondition: `caller` outlives the exchange.
     explicit exchange_control(tcp::socket& caller) : caller_(caller) {}
 
-    /// Makes a cancellation of the exchange close `upstream`, which makes the backend server stop.
+    /// Makes a cancellation of the exchange reset `upstream`, which makes the backend server stop.
     void attach_upstream(tcp::socket& upstream) {
         upstream_ = &upstream;
         if (cancelled()) {
-            close_upstream();
+            reset_upstream();
         }
     }
 
-    /// Releases the connection, so that a cancellation no longer closes it.
+    /// Releases the connection, so that a cancellation no longer resets it.
     void detach_upstream() { upstream_ = nullptr; }
 
     /// Cancels the exchange because the caller closed its connection.
     void note_caller_left() {
         caller_left_ = true;
-        close_upstream();
+        reset_upstream();
     }
 
     /// Cancels the exchange because its deadline has passed. Does nothing after `finish`.
@@ -36,7 +36,7 @@
             return;
         }
         timed_out_ = true;
-        close_upstream();
+        reset_upstream();
         net_error ignored;
         caller_.cancel(ignored); // A caller that does not read must not block the exchange.
     }
@@ -52,9 +52,12 @@
     bool cancelled() const { return caller_left_ || timed_out_; }
 
 private:
-    void close_upstream() {
+    /// Resets the connection. An orderly close would first deliver the bytes of the request that the kernel
+    /// still holds, so that a paused server would receive an abandoned request once it continues.
+    void reset_upstream() {
         if (upstream_ != nullptr) {
             net_error ignored;
+            upstream_->set_option(asio::socket_base::linger(true, 0), ignored);
             upstream_->close(ignored);
         }
     }
