Agents wait for their memory before they refuse a key; a paused process is waited for in the operators' tests

Change: the agent holds such a request for up to two seconds until its memory is complete.

Cause 2: apply_while_the_object_api_is_stopped counted on SIGSTOP having taken effect. Threads of a process stop one after the other, and one of them could still answer. Change: fleet::pause waits until all threads are stopped. The expectations are the same.

--- a/include/eelgrassgw/agent/agent.h
+++ b/include/eelgrassgw/agent/agent.h
@@ -44,6 +44,9 @@
 private:
     static constexpr std::chrono::milliseconds poll_interval{50};
     static constexpr std::chrono::milliseconds max_output_wait{500};
+    /// Longest time that a request with a caller's key waits for the memory of an agent that has restarted.
+    static constexpr std::chrono::milliseconds max_memory_wait{2000};
+    static constexpr std::chrono::milliseconds memory_poll_interval{5};
 
     // These functions handle the tickets of routers.
     void handle_request(const http_request& request, http_exchange& exchange);
@@ -52,6 +55,7 @@
                       const std::string& message, std::chrono::milliseconds retry_after);
     void handle_ticket(const http_request& request, http_exchange& exchange);
     bool check_ticket(const ticket& t, http_exchange& exchange);
+    bool wait_for_memory() const;
     configuration_revision adopt_configuration(const ticket& t);
     bool check_router(const ticket& t, http_exchange& exchange);
     static std::string refusal_code(const failure& f);
--- a/include/eelgrassgw/agent/internal/agent_tickets.h
+++ b/include/eelgrassgw/agent/internal/agent_tickets.h
@@ -92,7 +92,7 @@
                      {});
         return false;
     }
-    if (t.has_caller_key && !memory_is_complete_ && runs_.find_status(t.request_id).run_ptr == nullptr) {
+    if (t.has_caller_key && !wait_for_memory() && runs_.find_status(t.request_id).run_ptr == nullptr) {
         send_refusal(exchange, 409, "rebuilding",
                      "this agent does not yet know which requests ran here before it restarted",
                      poll_interval);
@@ -101,6 +101,17 @@
     return check_router(t, exchange);
 }
 
+/// Waits until this agent knows which requests ran here before it restarted, which takes a few milliseconds
+/// after its registration. Returns whether it knows them.
+template <object_store Store, backend_adapter Backend>
+bool agent<Store, Backend>::wait_for_memory() const {
+    const auto deadline = std::chrono::steady_clock::now() + max_memory_wait;
+    while (!memory_is_complete_ && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(memory_poll_interval);
+    }
+    return memory_is_complete_;
+}
+
 /// Adopts the configuration revision of the ticket and its limit on running requests if the revision is
 /// newer. Returns the current revision.
 template <object_store Store, backend_adapter Backend>
--- a/test/system/fleet.cpp
+++ b/test/system/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassgw/settings/process_settings.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -175,14 +176,29 @@
     }
 }
 
-char fleet::process_state(const std::string& name) const {
-    std::ifstream in("/proc/" + std::to_string(process(name).pid) + "/stat");
+namespace {
+
+/// Returns the state letter of a file such as /proc/1/stat, or '-' if there is none.
+char read_state(const std::filesystem::path& stat_file) {
+    std::ifstream in(stat_file);
     std::string text;
     std::getline(in, text);
     const std::size_t end = text.rfind(')');
     return end == std::string::npos || end + 2 >= text.size() ? '-' : text[end + 2];
 }
 
+bool are_all_threads_stopped(int pid) {
+    const std::filesystem::directory_iterator threads("/proc/" + std::to_string(pid) + "/task");
+    return std::all_of(begin(threads), end(threads),
+                       [](const auto& thread) { return read_state(thread.path() / "stat") == 'T'; });
+}
+
+} // namespace
+
+char fleet::process_state(const std::string& name) const {
+    return read_state("/proc/" + std::to_string(process(name).pid) + "/stat");
+}
+
 bool fleet::is_running(const std::string& name) const {
     int status = 0;
     ::waitpid(process(name).pid, &status, WNOHANG); // Reaps the process if this test process started it.
@@ -194,14 +210,21 @@
     return process_state(name) == 'T';
 }
 
-void fleet::restart(const std::string& name) {
+bool fleet::pause(const std::string& name) const {
+    constexpr std::chrono::seconds timeout{10};
+    send_signal(name, SIGSTOP);
+    return wait_until([&] { return are_all_threads_stopped(process(name).pid); }, timeout);
+}
+
+void fleet::restart(const std::string& name, const std::string& failpoints) {
     for (Json::Value& entry : description_["processes"]) {
         if (string_member(entry, "name") != name) {
             continue;
         }
         for (process_info& info : processes_) {
             if (info.name == name) {
-                info.pid = spawn(info.command, {}, path(name + ".out"));
+                const std::vector<std::string> environment = {failpoints_variable + failpoints};
+                info.pid = spawn(info.command, environment, path(name + ".out"));
                 entry["pid"] = info.pid;
             }
         }
--- a/test/system/fleet.h
+++ b/test/system/fleet.h
@@ -66,8 +66,12 @@
     bool is_running(const std::string& name) const;
     bool is_frozen(const std::string& name) const;
 
-    /// Restarts a process that has ended, without its failpoints.
-    void restart(const std::string& name);
+    /// Stops a process with SIGSTOP and waits until all of its threads are stopped, since a thread may still
+    /// answer a request after the signal was sent. Returns false if that takes too long.
+    bool pause(const std::string& name) const;
+
+    /// Restarts a process that has ended. `failpoints` replace the failpoints that it had.
+    void restart(const std::string& name, const std::string& failpoints = "");
 
     /// Sets the mode of the fault proxy `name`. Only the mode "delay_requests" uses `delay`.
     void set_proxy_mode(const std::string& name, const std::string& mode,
--- a/test/system/operations_test.cpp
+++ b/test/system/operations_test.cpp
@@ -134,7 +134,7 @@
 }
 
 TEST_F(operations_test, apply_while_the_object_api_is_stopped_may_be_repeated) {
-    target.send_signal("object-api", SIGSTOP);
+    ASSERT_TRUE(target.pause("object-api"));
     EXPECT_EQ(apply(1, 100, "ada"), 4);
     target.send_signal("object-api", SIGCONT);
     EXPECT_EQ(apply(1, 100, "ada"), 0);
--- a/test/system/repeated_key_test.cpp
+++ b/test/system/repeated_key_test.cpp
@@ -139,6 +139,20 @@
     expect_no_violations();
 }
 
+/// The restarted agent is listed as live some time before it knows which requests ran there.
+TEST_F(moved_key_test, key_is_not_refused_while_a_restarted_agent_still_reads_its_memory) {
+    ASSERT_NO_FATAL_FAILURE(stop("engine-2", SIGTERM));
+    for (const observation& seen : send_all("router-1")) {
+        EXPECT_TRUE(seen.is_complete) << seen.code;
+    }
+    target.restart("engine-2", "rpc_recent_requests=slow:1");
+    ASSERT_TRUE(wait_until([&] { return target.metric("router-2", "live_agents") == 3; }, timeout));
+    for (const observation& seen : send_all("router-2")) {
+        EXPECT_TRUE(seen.is_complete) << seen.code;
+    }
+    expect_no_violations();
+}
+
 TEST_F(moved_key_test, key_whose_agent_was_declared_lost_is_not_billed_a_second_time) {
     (void)send_all("router-1");
     ASSERT_NO_FATAL_FAILURE(stop("engine-1", SIGKILL));
