--- a/src/relay/ledger_client.h
+++ b/src/relay/ledger_client.h
@@ -18,8 +18,8 @@
 
 /// Satisfies the concept `ledger_service`. All routers prefer the same relay, so that it can batch their
 /// requests. If a relay does not reply, the client sends the request to the next relay and finally to this
-/// process's own ledger writer. Such a retry is safe because a request is applied at most once. Not
-/// thread-safe.
+/// process's own ledger writer. While none of them can reach the store, it tries one of them per request.
+/// Such a retry is safe because a request is applied at most once. Not thread-safe.
 template <ledger_service LocalWriter>
 class ledger_client {
 public:
@@ -65,6 +65,8 @@
     event_sink_function log_;
     std::vector<std::string> relays_; ///< Addresses of the relays, in the same order at all routers.
     std::map<std::string, backoff_state> failed_; ///< Relays whose last call failed, by address.
+    bool all_failed_ = false;        ///< Whether the last request failed over all ways that it tried.
+    bool uses_local_writer_ = false; ///< While all ways fail: whether the last request used the local writer.
 };
 
 template <ledger_service LocalWriter>
@@ -80,7 +82,13 @@
 template <ledger_service LocalWriter>
 task<ledger_outcome> ledger_client<LocalWriter>::submit(const ledger_request& request) {
     const auto deadline = clock::now() + slow_store_timeout;
-    const std::vector<std::string> relays = available_relays();
+    std::vector<std::string> relays = available_relays();
+    if (all_failed_) {
+        // The store itself is probably down. Each request then tries one way, a relay and the local writer in
+        // turn.
+        uses_local_writer_ = !uses_local_writer_ || relays.empty();
+        relays.resize(uses_local_writer_ ? 0 : 1);
+    }
     for (const std::string& relay : relays) {
         result<ledger_outcome> outcome = co_await call_relay(relay, request);
         while (outcome && outcome.value().still_trying && clock::now() < deadline) {
@@ -88,14 +96,21 @@
         }
         if (outcome) {
             note_success(relay);
+            all_failed_ = false;
             co_return std::move(outcome.value());
         }
         note_failure(relay, outcome.error().text());
     }
+    if (all_failed_ && !uses_local_writer_) {
+        ledger_outcome unknown;
+        unknown.error = "the store is unavailable";
+        co_return unknown;
+    }
     ledger_outcome outcome = co_await local_writer_.submit(request);
     while (outcome.still_trying && clock::now() < deadline) {
         outcome = co_await local_writer_.submit(request);
     }
+    all_failed_ = outcome.status == ledger_outcome::status_kind::unknown;
     co_return outcome;
 }
 
--- a/src/store/store_paths.cpp
+++ b/src/store/store_paths.cpp
@@ -66,7 +66,9 @@
         return failed_.at(a).backoff_until < failed_.at(b).backoff_until;
     });
     ordered_paths.insert(ordered_paths.end(), failed_paths.begin(), failed_paths.end());
-    ordered_paths.resize(std::min(ordered_paths.size(), max_paths_per_call));
+    // While no path works, the store itself is probably down. Each call then tries one path, in turn.
+    const std::size_t max_paths = all_failed_ ? 1 : max_paths_per_call;
+    ordered_paths.resize(std::min(ordered_paths.size(), max_paths));
     return ordered_paths;
 }
 
--- a/src/store/store_paths.h
+++ b/src/store/store_paths.h
@@ -50,8 +50,9 @@
     void set_relays(std::vector<std::string> relays);
     const std::vector<std::string>& relays() const { return relays_; }
 
-    /// Sends `request` over the paths one after another until one replies, and returns that reply.
-    /// `extra_wait` is the additional time that the store may hold back its reply, as for a long poll.
+    /// Sends `request` over the paths one after another until one replies, and returns that reply. After a
+    /// call that failed over all paths, the next calls try only one path each. `extra_wait` is the additional
+    /// time that the store may hold back its reply, as for a long poll.
     task<result<text_reply>> call(text_request request, call_urgency urgency,
                                   std::chrono::milliseconds extra_wait = std::chrono::milliseconds(0));
 
