Keep a scarce budget in the ledger instead of spreading its rest over all routers

Change: below 12,000 tokens a router in the ledger, routers take only what waiting requests need and return the rest at once; above it, what exceeds the allowance goes back with the next write. Played in allowance_table_test: the last 800,000 tokens of a budget at 27 routers.

--- a/src/budgets/allowance_table.cpp
+++ b/src/budgets/allowance_table.cpp
@@ -89,6 +89,9 @@
         return {};
     }
     const tokens grantable = std::max<tokens>(unspent, 0);
+    if (grantable < policy_.scarce_tokens_per_router * routers) {
+        return scarce_change(*customer_account, grantable);
+    }
     const double tokens_per_ms = demand_per_ms(*customer_account, now);
     const double max_share = policy_.max_unspent_share * double(grantable) / routers;
     const double full_allowance =
@@ -105,11 +108,19 @@
     const auto max_kept =
         static_cast<tokens>(std::max(full_allowance, scarce_allowance)) + customer_account->waiting;
     const tokens tolerated_excess = unspent < 0 ? 0 : std::max(max_kept, max_unused_excess);
-    return customer_account->available > max_kept + tolerated_excess
-               ? allowance_change{max_kept - customer_account->available, true}
+    const bool is_excessive = customer_account->available > max_kept + tolerated_excess;
+    return customer_account->available > max_kept
+               ? allowance_change::toward(max_kept, customer_account->available, is_excessive)
                : allowance_change{};
 }
 
+/// Returns the change for a customer whose budget is scarce: take what waiting requests need, return the
+/// rest.
+allowance_change allowance_table::scarce_change(const account& customer_account, tokens grantable) {
+    const tokens target = std::min(customer_account.waiting, customer_account.available + grantable);
+    return allowance_change::toward(target, customer_account.available, true);
+}
+
 std::map<std::string, tokens> allowance_table::available_by_customer() const {
     std::map<std::string, tokens> available_tokens;
     for (const auto& [customer, customer_account] : accounts_) {
--- a/src/budgets/allowance_table.h
+++ b/src/budgets/allowance_table.h
@@ -23,10 +23,20 @@
 
     /// Largest fraction of the unspent budget that all routers together may hold.
     double max_unspent_share = 0.5;
+
+    /// A budget is scarce if the ledger holds less than this for each router. Routers then keep nothing in
+    /// advance and return what no request needs, so that the rest of the budget is not spread over many
+    /// routers in parts that cover no request.
+    tokens scarce_tokens_per_router = 12000;
 };
 
 /// A change that a router wants to make to the ledger for one customer.
 struct allowance_change {
+    /// Returns the change that brings an allowance from `available` to `target` tokens.
+    static allowance_change toward(tokens target, tokens available, bool is_due) {
+        return {target - available, is_due && target != available};
+    }
+
     tokens amount = 0;   ///< Tokens to take from the ledger if positive, to return to it if negative.
     bool is_due = false; ///< Whether the change justifies a write; otherwise it is added to the next write.
 };
@@ -87,6 +97,7 @@
     };
 
     const account* find(const std::string& customer) const;
+    static allowance_change scarce_change(const account& customer_account, tokens grantable);
     double demand_per_ms(const account& customer_account, clock::time_point now) const;
 
     allowance_policy policy_;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -43,6 +43,8 @@
     policy.horizon = reader.milliseconds_or("allowance_horizon_ms", 10, 3600000, policy.horizon);
     policy.scarce_horizon =
         reader.milliseconds_or("scarce_allowance_horizon_ms", 0, 3600000, policy.scarce_horizon);
+    policy.scarce_tokens_per_router =
+        reader.integer_or("scarce_tokens_per_router", 0, 1000000000, policy.scarce_tokens_per_router);
     policy.max_unspent_share = reader.number_or("largest_allowance_share", 0, 1, policy.max_unspent_share);
 }
 
--- a/test/gateway/allowance_table_test.cpp
+++ b/test/gateway/allowance_table_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+#include <vector>
+
 namespace eelgrassgw {
 namespace {
 
@@ -15,7 +18,9 @@
         return table.wanted_change("c", unspent, routers, 0ms, now);
     }
 
-    allowance_policy policy{500ms, 300ms, 0.5};
+    static constexpr tokens never_scarce = 0;
+
+    allowance_policy policy{500ms, 300ms, 0.5, never_scarce};
     allowance_table table{policy};
     allowance_table::clock::time_point now = allowance_table::clock::now();
 };
@@ -97,5 +102,90 @@
     EXPECT_FALSE(wanted.is_due);
 }
 
+/// A budget with little left, of which the parts that routers hold in advance would cover no request.
+class scarce_budget_test : public ::testing::Test {
+protected:
+    static constexpr tokens scarce_tokens = 12000;
+    static constexpr int routers = 27;
+
+    allowance_change change(tokens unspent) const {
+        return table.wanted_change("c", unspent, routers, 0ms, now);
+    }
+
+    allowance_table table{allowance_policy{700ms, 300ms, 0.5, scarce_tokens}};
+    allowance_table::clock::time_point now = allowance_table::clock::now();
+};
+
+TEST_F(scarce_budget_test, nothing_is_taken_in_advance) {
+    table.record_demand("c", 100000, now);
+    EXPECT_GT(change(scarce_tokens * routers).amount, 0);
+    EXPECT_EQ(0, change(scarce_tokens * routers - 1).amount);
+}
+
+TEST_F(scarce_budget_test, what_no_request_needs_is_returned_at_once) {
+    table.record_demand("c", 100000, now);
+    table.add("c", 1500);
+    EXPECT_EQ(-1500, change(1000).amount);
+    EXPECT_TRUE(change(1000).is_due);
+}
+
+TEST_F(scarce_budget_test, waiting_request_takes_what_it_needs_and_no_more) {
+    table.add("c", 1500);
+    table.add_waiting_tokens("c", 9000);
+    EXPECT_EQ(7500, change(20000).amount);
+    EXPECT_TRUE(change(20000).is_due);
+}
+
+TEST_F(scarce_budget_test, rest_that_does_not_cover_the_waiting_request_is_taken_whole) {
+    table.add_waiting_tokens("c", 9000);
+    EXPECT_EQ(400, change(400).amount);
+}
+
+/// Plays the end of a budget: 27 routers share what is left, and requests arrive at random routers. Returns
+/// how many of the requests, of 8000 tokens each, are served.
+int play_end_of_budget(tokens scarce_tokens_per_router) {
+    constexpr int routers = 27;
+    constexpr tokens prepaid = 800000;
+    constexpr tokens request_tokens = 8000;
+    auto now = allowance_table::clock::now();
+    std::vector<allowance_table> tables(
+        routers, allowance_table(allowance_policy{700ms, 300ms, 0.5, scarce_tokens_per_router}));
+    std::mt19937 random(7);
+    tokens unspent = prepaid;
+    int served = 0;
+    const auto write = [&](allowance_table& table) {
+        const allowance_change change = table.wanted_change("c", unspent, routers, 50ms, now);
+        table.add("c", change.amount);
+        unspent -= change.amount;
+    };
+    for (int i = 0; i < 400; ++i) {
+        now += 40ms;
+        allowance_table& table = tables[random() % routers];
+        table.record_demand("c", request_tokens, now);
+        if (table.available("c") < request_tokens) {
+            table.add_waiting_tokens("c", request_tokens);
+            write(table);
+            table.add_waiting_tokens("c", -request_tokens);
+        }
+        if (table.reserve("c", request_tokens)) {
+            table.settle("c", request_tokens, request_tokens);
+            ++served;
+        }
+        for (allowance_table& each : tables) {
+            const allowance_change change = each.wanted_change("c", unspent, routers, 50ms, now);
+            if (change.is_due) {
+                write(each);
+            }
+        }
+    }
+    return served;
+}
+
+TEST(end_of_budget_test, customer_is_served_until_hardly_any_token_is_left) {
+    constexpr int covered_requests = 100;
+    EXPECT_GE(play_end_of_budget(12000), covered_requests - 1);
+    EXPECT_LT(play_end_of_budget(0), covered_requests - 1) << "the load does not need the rule";
+}
+
 } // namespace
 } // namespace eelgrassgw
