--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -61,6 +61,25 @@
     }
 
 private:
+    /// Counts a request and its body as in progress, also if serving it ends with an exception.
+    class running_request {
+    public:
+        running_request(Core& core, std::size_t body_bytes) : core_(core), body_bytes_(body_bytes) {
+            ++core_.running_requests;
+            core_.body_bytes_in_use += body_bytes_;
+        }
+        ~running_request() {
+            --core_.running_requests;
+            core_.body_bytes_in_use -= body_bytes_;
+        }
+        running_request(const running_request&) = delete;
+        running_request& operator=(const running_request&) = delete;
+
+    private:
+        Core& core_;
+        std::size_t body_bytes_;
+    };
+
     using body_parser = http::request_parser<http::string_body>;
 
     caller_limits current_limits() const {
@@ -91,12 +110,8 @@
         }
         const text_request request = parser->release();
         parser.reset();
-        const std::size_t n = request.body().size();
-        core_.body_bytes_in_use += n;
-        ++core_.running_requests;
+        const running_request counted(core_, request.body().size());
         const bool keep_alive = co_await serve(request, started);
-        --core_.running_requests;
-        core_.body_bytes_in_use -= n;
         if (!keep_alive || core_.closing_connections) {
             break;
         }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <set>
@@ -96,7 +97,15 @@
             log_.write(event, std::move(fields));
         };
     }
-    void spawn(task<void> job) { asio::co_spawn(context_, std::move(job), asio::detached); }
+    /// Starts a task. An unexpected exception ends only that task and is logged.
+    void spawn(task<void> job) {
+        asio::co_spawn(context_, std::move(job), [this](const std::exception_ptr& error) {
+            if (error) {
+                log_failed_task(error);
+            }
+        });
+    }
+    void log_failed_task(const std::exception_ptr& error);
 
     result<done> start_services();
     task<void> accept_callers();
@@ -136,6 +145,18 @@
     std::set<std::string> rejected_entries_; ///< Names of entries whose rejection has been logged.
 };
 
+template <gateway_platform Platform>
+void gateway<Platform>::log_failed_task(const std::exception_ptr& error) {
+    Json::Value fields;
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& e) {
+        fields["error"] = e.what();
+    }
+    metrics_.count("failed_tasks");
+    log_.write_failure("task_failed", std::move(fields));
+}
+
 template <gateway_platform Platform>
 result<done> gateway<Platform>::start() {
     const result<done> services_started = start_services();
--- a/test/gateway/endless_answer_test.cpp
+++ b/test/gateway/endless_answer_test.cpp
@@ -45,8 +45,8 @@
     unsigned status = 502; ///< Status that the caller gets, unless the route times out first.
 };
 
-void PrintTo(const endless_case& c, std::ostream* out) {
-    *out << c.name;
+std::ostream& operator<<(std::ostream& out, const endless_case& c) {
+    return out << c.name;
 }
 
 class endless_answer_test : public gateway_fixture, public ::testing::WithParamInterface<endless_case> {
--- a/test/gateway/forwarding_test.cpp
+++ b/test/gateway/forwarding_test.cpp
@@ -150,6 +150,25 @@
     });
 }
 
+/// The second copy arrives only once the connection carries the next request.
+TEST_F(forwarding_test, late_second_copy_of_an_answer_does_not_reach_the_next_caller) {
+    std::string earlier_answer;
+    auto& server = add_backend("s1", "plain", [&](backend_exchange& e) -> task<void> {
+        const std::string body = "answer to " + std::string(e.request().target());
+        const std::string answer =
+            e.genuine_head(200) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        co_await e.write(std::exchange(earlier_answer, answer) + answer);
+    });
+    run([&]() -> task<void> {
+        for (int i = 0; i < 6; ++i) {
+            const std::string target = "/book/" + std::to_string(i);
+            const auto answer = co_await call(request("POST", target, "", "b"));
+            EXPECT_EQ("answer to " + target, answer ? answer->body() : "no answer");
+        }
+        EXPECT_LT(server.connections(), 6) << "no connection was in use again";
+    });
+}
+
 TEST_F(forwarding_test, healthy_connection_to_a_server_is_reused) {
     auto& server = add_backend("s1", "plain", answering("ok"));
     run([&]() -> task<void> {
--- a/test/gateway/started_program.h
+++ b/test/gateway/started_program.h
@@ -17,13 +17,16 @@
 /// A program that a test has started. The destructor kills the program if it is still running.
 class started_program {
 public:
-    started_program(const std::string& name, const std::string& settings_file) {
+    /// Appends the program's output to `log_file`.
+    started_program(const std::string& name, const std::string& settings_file,
+                    const std::string& log_file = "/dev/null") {
         const std::string path = std::string(BUILD_DIR) + "/" + name;
         pid_ = fork();
         if (pid_ == 0) {
-            const int null_device = open("/dev/null", O_WRONLY);
-            dup2(null_device, STDOUT_FILENO);
-            dup2(null_device, STDERR_FILENO);
+            constexpr mode_t log_file_mode = 0644;
+            const int output = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, log_file_mode);
+            dup2(output, STDOUT_FILENO);
+            dup2(output, STDERR_FILENO);
             setenv("EELGRASSGW_NODE_FILE", settings_file.c_str(), 1);
             execl(path.c_str(), name.c_str(), nullptr);
             _exit(127);
--- a/test/gateway/stop_test.cpp
+++ b/test/gateway/stop_test.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway_fixture.h"
 
+#include <set>
+
 namespace eelgrassgw {
 namespace {
 
@@ -37,6 +39,48 @@
     });
 }
 
+/// Callers keep sending on open and on new connections during the whole stop. Each request that reached a
+/// server must be answered whole.
+TEST_F(stop_test, requests_that_were_accepted_during_a_stop_under_load_are_answered) {
+    auto& server = add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await sleep_for(30ms);
+        co_await e.answer(200, "ok");
+    });
+    std::set<std::string> answered;
+    bool stopped = false;
+    const auto call_until_stopped = [&](bool keeps_connection) -> task<void> {
+        while (!stopped) {
+            raw_caller caller(context);
+            co_await caller.connect(settings.listen);
+            for (bool open = true; open && !stopped;) {
+                const std::string bytes = request("GET", "/read/");
+                co_await caller.send(bytes);
+                const auto answer = co_await caller.read_answer(2s);
+                if (answer) {
+                    answered.insert(
+                        bytes.substr(bytes.find("id-"), bytes.find("\r\nDeadline") - bytes.find("id-")));
+                }
+                open = keeps_connection && answer && answer->keep_alive();
+            }
+            co_await sleep_for(5ms);
+        }
+    };
+    run([&]() -> task<void> {
+        for (int i = 0; i < 20; ++i) {
+            asio::co_spawn(context, call_until_stopped(i % 2 == 0), asio::detached);
+        }
+        co_await sleep_for(300ms);
+        co_await router->stop();
+        stopped = true;
+        co_await sleep_for(300ms);
+        EXPECT_GT(server.arrived().size(), 500U);
+        for (const text_request& each : server.arrived()) {
+            const std::string id(each["Attempt-Id"]);
+            EXPECT_TRUE(answered.contains(id)) << id;
+        }
+    });
+}
+
 TEST_F(stop_test, idle_connections_are_closed) {
     add_backend("s1", "plain", answering("ok"));
     run([&]() -> task<void> {
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <set>
 
 namespace eelgrassgw {
@@ -46,7 +47,9 @@
     std::unique_ptr<fault_link> store_link;
     std::unique_ptr<started_program> running;
 
-    void start() { running = std::make_unique<started_program>(program, settings_file); }
+    void start() {
+        running = std::make_unique<started_program>(program, settings_file, settings_file + ".log");
+    }
 };
 
 class soak_test : public gateway_fixture, public ::testing::WithParamInterface<std::uint64_t> {
@@ -54,7 +57,8 @@
     void SetUp() override {
         random.seed(GetParam());
         state->random.seed(GetParam() + 1);
-        folder = std::filesystem::temp_directory_path() / ("eelgrass-soak-" + std::to_string(getpid()));
+        folder = std::filesystem::temp_directory_path() /
+                 ("eelgrass-soak-" + std::to_string(getpid()) + "-" + std::to_string(GetParam()));
         std::filesystem::create_directories(folder);
         routes = {{"/book/", "non_idempotent"},
                   {"/read/", "idempotent"},
@@ -65,7 +69,11 @@
     }
     void TearDown() override {
         processes.clear();
-        std::filesystem::remove_all(folder);
+        if (HasFailure()) {
+            std::cout << "the logs of seed " << GetParam() << " are kept in " << folder << "\n";
+        } else {
+            std::filesystem::remove_all(folder);
+        }
     }
 
     static std::string make_host_address(int host, std::uint16_t port) {
@@ -317,6 +325,13 @@
             << "the callers received more tokens than the customer has prepaid";
         EXPECT_GT(served, int(outcomes.size()) / 5)
             << "too few requests succeeded of " << outcomes.size() << " requests";
+        std::map<unsigned, int> count_by_status;
+        for (const request_outcome& each : outcomes) {
+            ++count_by_status[each.status];
+        }
+        for (const auto& [status, n] : count_by_status) {
+            std::cout << "status " << status << ": " << n << "\n";
+        }
         std::cout << "seed " << GetParam() << ": " << served << " of " << outcomes.size()
                   << " requests served, " << delivered_tokens << " of " << prepaid_tokens
                   << " tokens delivered\n";
