--- a/test/gateway/retry_advice_test.cpp
+++ b/test/gateway/retry_advice_test.cpp
@@ -65,9 +65,9 @@
 }
 
 TEST(backoff_test, processes_that_fail_together_do_not_try_again_together) {
-    std::vector<milliseconds> first_delays;
-    for (int i = 0; i < 50; ++i) {
-        first_delays.push_back(backoff(1000ms, 4000ms).next_delay());
+    std::vector<milliseconds> first_delays(50);
+    for (milliseconds& delay : first_delays) {
+        delay = backoff(1000ms, 4000ms).next_delay();
     }
     const auto [earliest, latest] = std::minmax_element(first_delays.begin(), first_delays.end());
     EXPECT_GT(*latest - *earliest, 200ms);
