--- a/test/gateway/platform_store_stand_in.cpp
+++ b/test/gateway/platform_store_stand_in.cpp
@@ -128,7 +128,7 @@
     Json::Value body;
     body["events"] = Json::Value(Json::arrayValue);
     const std::uint64_t era = era_;
-    while (body["events"].empty() && std::chrono::steady_clock::now() < deadline) {
+    for (;;) {
         if (era != era_) {
             co_return make_reply(http::status::gone, "text/plain", "");
         }
@@ -140,9 +140,13 @@
                 body["events"].append(event_json);
             }
         }
+        // A later change must not be skipped, so the revision is that of this look at the events.
+        body["at"] = Json::UInt64(now_.revision);
+        if (!body["events"].empty() || std::chrono::steady_clock::now() >= deadline) {
+            break;
+        }
         co_await sleep_for(5ms);
     }
-    body["at"] = Json::UInt64(now_.revision);
     co_return json_reply(http::status::ok, body);
 }
 
