Log how a server's answer is framed and what follows its last event

Each attempt now logs its framing, and a stream the bytes after its last whole event. No decision changes; gateway_tests pass (budget_schedules, known red, was left out).

--- a/src/gateway/backend_reply.cpp
+++ b/src/gateway/backend_reply.cpp
@@ -29,6 +29,18 @@
 
 } // namespace
 
+const char* name_of(body_framing framing) {
+    constexpr std::array names = {"length", "chunked", "connection_end"};
+    return names.at(static_cast<std::size_t>(framing));
+}
+
+body_framing backend_reply::framing() const {
+    if (parser_->chunked()) {
+        return body_framing::chunked;
+    }
+    return parser_->need_eof() ? body_framing::connection_end : body_framing::length;
+}
+
 task<answer_kind> backend_reply::read_head(const head_classifier& classify) {
     for (int i = 0; i <= max_skipped_replies; ++i) {
         if (!co_await read_next_head()) {
--- a/src/gateway/backend_reply.h
+++ b/src/gateway/backend_reply.h
@@ -17,6 +17,16 @@
 
 using reply_head = http::response_header<>;
 
+/// How a reply marks the end of its body.
+enum class body_framing {
+    length,         ///< The head states the length, or that there is no body.
+    chunked,        ///< The last chunk ends the body.
+    connection_end, ///< The body ends with its connection.
+};
+
+/// Returns the name of a framing in the log.
+const char* name_of(body_framing framing);
+
 /// Reads the head and then the body of a reply. Not thread-safe.
 class backend_reply {
 public:
@@ -39,6 +49,9 @@
     /// Precondition: `read_head` found a head.
     const reply_head& head() const { return parser_->get().base(); }
 
+    /// Returns how the reply marks the end of its body. Precondition: `read_head` found a head.
+    body_framing framing() const;
+
     /// State of the body after a read: more bytes follow, it is complete, or the connection failed.
     enum class body_state { more, complete, broken };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -146,7 +146,8 @@
     event_splitter splitter_;
     milliseconds budget_known_after_{0};            ///< Time until the budget answered, for the log.
     std::optional<milliseconds> first_event_after_; ///< Time until the first event, for the log.
-    Json::Value attempt_log_{Json::arrayValue};     ///< Server and outcome of each attempt, for the log.
+    Json::Value attempt_fields_;                    ///< Fields of the current attempt, for the log.
+    Json::Value attempt_log_{Json::arrayValue};     ///< Fields of all ended attempts, for the log.
     std::string outcome_ = "answered";
     std::string error_;
 };
@@ -259,11 +260,11 @@
                                                                     : attempt_outcome::not_sent);
         }
         tried_server_ids_.push_back(server->server.id);
+        attempt_fields_ = Json::objectValue;
+        attempt_fields_["server"] = server->server.id;
         const attempt_outcome outcome = co_await send_to(server);
-        Json::Value tried;
-        tried["server"] = server->server.id;
-        tried["end"] = name_of(outcome);
-        attempt_log_.append(std::move(tried));
+        attempt_fields_["end"] = name_of(outcome);
+        attempt_log_.append(std::move(attempt_fields_));
         if (outcome == attempt_outcome::answered) {
             co_return;
         }
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -73,6 +73,7 @@
 template <class Core>
 task<attempt_outcome> exchange<Core>::forward_answer(tracked_backend& server, connection& upstream,
                                                      backend_reply& reply, answer_kind kind) {
+    attempt_fields_["framing"] = name_of(reply.framing());
     attempt_outcome outcome = attempt_outcome::invalid_answer;
     if (kind == answer_kind::success && is_stream()) {
         outcome = co_await forward_stream(server, reply);
@@ -140,6 +141,9 @@
         const auto state = co_await reply.read_body_piece(bytes);
         server.last_heard_at = clock::now();
         std::string complete_events = splitter_.append(bytes);
+        if (state != backend_reply::body_state::more) {
+            attempt_fields_["bytes_after_last_event"] = Json::UInt64(splitter_.incomplete_bytes());
+        }
         if (state == backend_reply::body_state::complete) {
             complete_events += splitter_.take_remainder();
         }
