--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -67,11 +67,15 @@
 
 const http_timeouts short_timeouts{std::chrono::milliseconds(1000), std::chrono::milliseconds(1000)};
 
+/// How a scripted peer ends a connection.
+enum class peer_end { close, reset };
+
 /// Peer on the loopback interface that answers the first request of each connection with fixed bytes and then
-/// closes the connection.
+/// ends the connection.
 class scripted_peer {
 public:
-    explicit scripted_peer(std::string answer) : answer_(std::move(answer)) {
+    explicit scripted_peer(std::string answer, peer_end end = peer_end::close)
+        : answer_(std::move(answer)), end_(end) {
         listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -108,11 +112,17 @@
                 ++request_count_;
                 (void)::send(client, answer_.data(), answer_.size(), MSG_NOSIGNAL);
             }
+            if (end_ == peer_end::reset) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50)); // The bytes arrive first.
+                const linger discard_unsent{1, 0};
+                ::setsockopt(client, SOL_SOCKET, SO_LINGER, &discard_unsent, sizeof discard_unsent);
+            }
             ::close(client);
         }
     }
 
     std::string answer_;
+    peer_end end_;
     int listener_ = -1;
     endpoint listen_endpoint_;
     std::atomic<int> request_count_{0};
@@ -155,6 +165,25 @@
         call_http(peer.listen_endpoint(), post_request(), short_timeouts).failed_with(errc::outcome_unknown));
 }
 
+TEST(http_client_test, body_cut_off_inside_a_chunk_is_an_unknown_outcome) {
+    const scripted_peer peer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n20\r\nhal");
+    EXPECT_TRUE(
+        call_http(peer.listen_endpoint(), post_request(), short_timeouts).failed_with(errc::outcome_unknown));
+}
+
+TEST(http_client_test, body_without_a_length_that_ends_with_a_reset_is_an_unknown_outcome) {
+    const scripted_peer peer("HTTP/1.1 200 OK\r\n\r\nhalf", peer_end::reset);
+    EXPECT_TRUE(
+        call_http(peer.listen_endpoint(), post_request(), short_timeouts).failed_with(errc::outcome_unknown));
+}
+
+TEST(http_client_test, body_without_a_length_that_ends_with_its_connection_is_whole) {
+    const scripted_peer peer("HTTP/1.1 200 OK\r\n\r\nwhole");
+    const auto reply = call_http(peer.listen_endpoint(), post_request(), short_timeouts);
+    ASSERT_TRUE(reply.ok()) << reply.error().text();
+    EXPECT_EQ(reply.value().body, "whole");
+}
+
 TEST(http_client_test, stream_cut_off_inside_a_chunk_reads_as_an_ordinary_end) {
     const scripted_peer peer(
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nline1\n\r\n20\r\nhal");
