A stream that ends inside an event is broken off, whatever ends its transport

Cause: the gateway took the end of the body as HTTP frames it for the end of the stream. A body without a length or chunks ends with its connection, so a server that closes midway looked complete, and event_splitter::take_remainder handed the half event on as the last one. The same happened to a body with a length or chunks whose end lies inside an event.

Change: the stream's own format decides. It is whole only if no event is open at the end of the body; otherwise it is broken off, and resumed where the route allows. Half an event is neither forwarded nor charged. Empty lines after the last event are still forwarded.

The test that a remainder counts as an event stated the fault as the wish; tests of both sides of the new rule replace it. Limit: an unframed stream that is closed exactly between two events cannot be told from a whole one.

--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -144,8 +144,9 @@
         if (state != backend_reply::body_state::more) {
             attempt_fields_["bytes_after_last_event"] = Json::UInt64(splitter_.incomplete_bytes());
         }
-        if (state == backend_reply::body_state::complete) {
-            complete_events += splitter_.take_remainder();
+        const bool whole = state == backend_reply::body_state::complete && !splitter_.is_inside_event();
+        if (whole) {
+            complete_events += splitter_.take_trailing_lines();
         }
         if (!complete_events.empty()) {
             first_event_after_ = first_event_after_.value_or(elapsed());
@@ -154,20 +155,33 @@
         if (!co_await answer_.send_piece(std::move(complete_events))) {
             control_.note_caller_left();
         }
-        const bool event_too_large = splitter_.incomplete_bytes() > max_event_bytes;
-        if (control_.cancelled() || event_too_large || state != backend_reply::body_state::more) {
-            error_ = event_too_large                              ? "an event of the stream is too large"
-                     : state == backend_reply::body_state::broken ? reply.error()
-                                                                  : "";
-            const bool complete = state == backend_reply::body_state::complete && !control_.caller_left();
-            if (complete) {
-                co_await answer_.finish();
-            }
-            co_return complete     ? attempt_outcome::answered
-            : control_.cancelled() ? attempt_outcome::cancelled
-                                   : attempt_outcome::broken_midway;
+        if (whole && !control_.caller_left()) {
+            co_await answer_.finish();
+            co_return attempt_outcome::answered;
+        }
+        error_ = find_stream_fault(reply, state);
+        if (control_.cancelled()) {
+            co_return attempt_outcome::cancelled;
         }
+        if (!error_.empty()) {
+            co_return attempt_outcome::broken_midway;
+        }
+    }
+}
+
+/// Returns why a stream whose last read had the result `state` cannot go on; empty if it can.
+template <class Core>
+std::string exchange<Core>::find_stream_fault(const backend_reply& reply,
+                                              backend_reply::body_state state) const {
+    if (state == backend_reply::body_state::broken) {
+        return reply.error();
+    }
+    if (splitter_.incomplete_bytes() > max_event_bytes) {
+        return "an event of the stream is too large";
     }
+    const bool ended_inside_event =
+        state == backend_reply::body_state::complete && splitter_.is_inside_event();
+    return ended_inside_event ? "the stream ended inside an event" : "";
 }
 
 /// Collects the body and sends it once it is complete; a large body of a successful answer is forwarded as it
--- a/src/streams/event_splitter.cpp
+++ b/src/streams/event_splitter.cpp
@@ -65,8 +65,11 @@
     return complete_events;
 }
 
-std::string event_splitter::take_remainder() {
-    event_count_ += incomplete_event_.empty() ? 0 : 1;
+bool event_splitter::is_inside_event() const {
+    return incomplete_event_.find_first_not_of("\r\n") != std::string::npos;
+}
+
+std::string event_splitter::take_trailing_lines() {
     return std::exchange(incomplete_event_, {});
 }
 
--- a/src/streams/event_splitter.h
+++ b/src/streams/event_splitter.h
@@ -17,9 +17,12 @@
     /// `restart`, events whose numeric id is not greater than the last one are skipped as duplicates.
     std::string append(std::string_view bytes);
 
-    /// Removes and returns the bytes after the last complete event. If there are any, they count as one
-    /// event.
-    std::string take_remainder();
+    /// Returns whether bytes of an incomplete event are held back. A stream that ends here was broken off.
+    bool is_inside_event() const;
+
+    /// Removes and returns the empty lines after the last complete event. Precondition: `is_inside_event()`
+    /// is false.
+    std::string take_trailing_lines();
 
     /// Prepares for a new run that resumes after the last complete event, and discards incomplete bytes.
     void restart();
--- a/test/gateway/event_splitter_test.cpp
+++ b/test/gateway/event_splitter_test.cpp
@@ -44,10 +44,20 @@
     EXPECT_EQ(3, events.event_count());
 }
 
-TEST(event_splitter, remainder_without_an_end_counts_as_an_event) {
+TEST(event_splitter, stream_without_the_empty_line_of_its_last_event_ends_inside_an_event) {
+    for (const std::string end : {"id: 2", "id: 2\ndata: b", "id: 2\ndata: b\n", "id: 2\r\ndata: b\r\n\r"}) {
+        event_splitter events;
+        EXPECT_EQ("id: 1\ndata: a\n\n", events.append("id: 1\ndata: a\n\n" + end));
+        EXPECT_TRUE(events.is_inside_event()) << end;
+        EXPECT_EQ(1, events.event_count()) << end;
+    }
+}
+
+TEST(event_splitter, empty_lines_after_the_last_event_belong_to_no_event) {
     event_splitter events;
-    events.append("id: 1\ndata: a");
-    EXPECT_EQ("id: 1\ndata: a", events.take_remainder());
+    events.append("id: 1\ndata: a\n\n\n\r");
+    EXPECT_FALSE(events.is_inside_event());
+    EXPECT_EQ("\n\r", events.take_trailing_lines());
     EXPECT_EQ(1, events.event_count());
 }
 
