No bytes follow the head of the answer to a HEAD request

Callers saw: after a HEAD request for a stream, the last chunk of a body that HEAD answers do not have; on a kept connection it stands where the next answer begins. Cause: caller_answer ended each answer that it had begun with a chunked head in the same way.

--- a/src/gateway/caller_answer.cpp
+++ b/src/gateway/caller_answer.cpp
@@ -35,7 +35,7 @@
 }
 
 task<bool> caller_answer::send_piece(std::string piece) {
-    if (piece.empty()) {
+    if (piece.empty() || head_only_) {
         co_return true; // An empty chunk would end the body.
     }
     net_error ec;
@@ -45,7 +45,9 @@
 
 task<bool> caller_answer::finish() {
     net_error ec;
-    co_await asio::async_write(caller_, http::make_chunk_last(), with_error(ec));
+    if (!head_only_) {
+        co_await asio::async_write(caller_, http::make_chunk_last(), with_error(ec));
+    }
     finished_ = !ec;
     co_return finished_;
 }
