Callers that speak HTTP/1.0 get a body that ends with its connection, or a reset

Callers saw: chunk sizes as part of the body of a stream or a large answer, since HTTP/1.0 has no chunks. Cause: the gateway frames each body of unknown length in chunks. Now such a body ends with its connection, as these callers expect, and one that is broken off ends with a reset, because a regular close would make it look complete.

--- a/src/gateway/caller_answer.h
+++ b/src/gateway/caller_answer.h
@@ -13,13 +13,15 @@
 using answer_head = http::response<http::empty_body>;
 
 /// Sends an answer either whole, or as a head, pieces of the body and an end. The caller can tell that an
-/// answer without an end is incomplete. Not thread-safe.
+/// answer without an end is incomplete: its last chunk is missing, or, for a caller that cannot read chunks,
+/// its connection is reset. Not thread-safe.
 class caller_answer {
 public:
-    /// `keep_alive` says whether the connection may stay open after the answer. `head_only` says that the
-    /// answer has no body. Precondition: `caller` outlives this object.
-    caller_answer(tcp::socket& caller, bool keep_alive, bool head_only)
-        : caller_(caller), keep_alive_(keep_alive), head_only_(head_only) {}
+    /// `request` is the request that is answered. `keep_alive` says whether the connection may stay open
+    /// after the answer. Precondition: `caller` outlives this object.
+    caller_answer(tcp::socket& caller, const text_request& request, bool keep_alive)
+        : caller_(caller), keep_alive_(keep_alive), head_only_(request.method() == http::verb::head),
+          reads_chunks_(request.version() >= first_version_with_chunks) {}
 
     /// Sends a whole answer. Returns false if the caller has closed the connection. Precondition: nothing was
     /// sent before.
@@ -34,6 +36,9 @@
     /// Ends the body. Precondition: the head was sent.
     task<bool> finish();
 
+    /// Gives up an answer whose head was sent, so that the caller can tell that its body is incomplete.
+    void break_off();
+
     /// Returns whether sending has begun.
     bool started() const { return started_; }
 
@@ -47,9 +52,12 @@
     unsigned status() const { return status_; }
 
 private:
+    static constexpr unsigned first_version_with_chunks = 11; ///< HTTP/1.1, as Beast counts versions.
+
     tcp::socket& caller_;
     bool keep_alive_;
-    bool head_only_; ///< True if the answer has no body, as for a HEAD request.
+    bool head_only_;    ///< True if the answer has no body, as for a HEAD request.
+    bool reads_chunks_; ///< False if a body of unknown length has to end with its connection.
     bool started_ = false;
     bool finished_ = false;
     unsigned status_ = 0;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -192,7 +192,8 @@
     fields["error"] = rejection.message;
     core_.log.write_failure("request_not_read", std::move(fields));
     core_.metrics.count("requests", {{"outcome", name_of(rejection.reason)}});
-    caller_answer answer(caller_, false, false);
+    const text_request unread_request;
+    caller_answer answer(caller_, unread_request, false);
     co_await answer.send_whole(to_reply(rejection));
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -87,8 +87,7 @@
              std::shared_ptr<exchange_control> control, clock::time_point started)
         : core_(core), request_(request), shared_control_(std::move(control)), control_(*shared_control_),
           started_(started), timeout_timer_(core.context),
-          answer_(caller, request.keep_alive() && !core.closing_connections,
-                  request.method() == http::verb::head),
+          answer_(caller, request, request.keep_alive() && !core.closing_connections),
           configuration_(core.configuration) {}
 
     /// Serves the request. Returns whether the connection can take another request.
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -16,7 +16,8 @@
     }
     if (answer_.started()) {
         outcome_ = last == attempt_outcome::cancelled ? "broken_at_timeout" : "broken_midway";
-        co_return; // The caller can tell that an answer without an end is incomplete.
+        answer_.break_off();
+        co_return;
     }
     const bool out_of_time = last == attempt_outcome::cancelled;
     if (may_have_run_ && held_failure_ && !out_of_time) {
