A stream that is closed before its first event is broken off

Callers would see: an empty stream that looks complete, where a server without a length or chunks closes the connection right after its head, as one that crashes when it begins to write does. Cause: with nothing but the end of the connection, no event is also no open event. A stream of which nothing but that end is known has now to show an event before it counts as whole; with a length or chunks it may be empty.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,7 @@
     task<attempt_outcome> forward_answer(tracked_backend& server, connection& upstream, backend_reply& reply,
                                          answer_kind kind);
     task<attempt_outcome> forward_stream(tracked_backend& server, backend_reply& reply);
+    bool is_stream_whole(const backend_reply& reply) const;
     std::string find_stream_fault(const backend_reply& reply, backend_reply::body_state state) const;
     task<attempt_outcome> forward_body(tracked_backend& server, backend_reply& reply, answer_kind kind);
     task<void> send_final_answer(attempt_outcome last);
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -144,7 +144,7 @@
         if (state != backend_reply::body_state::more) {
             attempt_fields_["bytes_after_last_event"] = Json::UInt64(splitter_.incomplete_bytes());
         }
-        const bool whole = state == backend_reply::body_state::complete && !splitter_.is_inside_event();
+        const bool whole = state == backend_reply::body_state::complete && is_stream_whole(reply);
         if (whole) {
             complete_events += splitter_.take_trailing_lines();
         }
@@ -179,9 +179,16 @@
     if (splitter_.incomplete_bytes() > max_event_bytes) {
         return "an event of the stream is too large";
     }
-    const bool ended_inside_event =
-        state == backend_reply::body_state::complete && splitter_.is_inside_event();
-    return ended_inside_event ? "the stream ended inside an event" : "";
+    const bool ended = state == backend_reply::body_state::complete;
+    return ended && !is_stream_whole(reply) ? "the stream ended inside an event or before the first one" : "";
+}
+
+/// Returns whether a stream whose body has ended is whole. If only the end of the connection marks the end of
+/// the body, a stream without any event is taken for one that was broken off.
+template <class Core>
+bool exchange<Core>::is_stream_whole(const backend_reply& reply) const {
+    const bool has_begun = splitter_.event_count() > 0 || reply.framing() != body_framing::connection_end;
+    return has_begun && !splitter_.is_inside_event();
 }
 
 /// Collects the body and sends it once it is complete; a large body of a successful answer is forwarded as it
--- a/test/gateway/broken_off_stream_test.cpp
+++ b/test/gateway/broken_off_stream_test.cpp
@@ -135,6 +135,17 @@
                                                               server_end::reset, server_end::silence)),
                          name_of_case);
 
+using unframed_stream_test = broken_off_stream_fixture;
+
+TEST_F(unframed_stream_test, stream_that_is_closed_before_its_first_event_does_not_look_complete) {
+    add_backend("s1", "models", [](backend_exchange& e) -> task<void> {
+        co_await write_head(e, server_framing::connection_end, 0);
+        co_await sleep_for(30ms);
+        e.break_off(false);
+    });
+    run([&]() -> task<void> { EXPECT_FALSE((co_await call(stream_request("/once/"))).has_value()); });
+}
+
 class stream_framing_test : public broken_off_stream_fixture,
                             public ::testing::WithParamInterface<server_framing> {};
 
