--- a/test/gateway/scripted_backend.h
+++ b/test/gateway/scripted_backend.h
@@ -112,7 +112,8 @@
         : address_(std::move(address)), script_(std::make_shared<script_type>(std::move(script))) {
         auto acceptor = listen_on(context, address_);
         EXPECT_TRUE(acceptor.ok());
-        asio::co_spawn(context, accept(std::move(acceptor.value())), asio::detached);
+        acceptor_ = std::make_shared<tcp::acceptor>(std::move(acceptor.value()));
+        asio::co_spawn(context, accept(acceptor_), asio::detached);
     }
 
     const std::string& address() const { return address_; }
@@ -123,13 +124,22 @@
     /// Returns the number of connections that were accepted.
     int connections() const { return *connections_; }
 
+    /// Refuses connections from now on, as after the end of the server's process. Open connections stay.
+    void stop_listening() {
+        net_error ignored;
+        acceptor_->close(ignored);
+    }
+
 private:
-    task<void> accept(tcp::acceptor acceptor) {
+    task<void> accept(std::shared_ptr<tcp::acceptor> acceptor) {
         for (;;) {
             net_error ec;
-            tcp::socket socket = co_await acceptor.async_accept(with_error(ec));
+            tcp::socket socket = co_await acceptor->async_accept(with_error(ec));
+            if (!acceptor->is_open()) {
+                co_return;
+            }
             ++*connections_;
-            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket), script_, arrived_),
+            asio::co_spawn(acceptor->get_executor(), serve(std::move(socket), script_, arrived_),
                            asio::detached);
         }
     }
@@ -151,6 +161,7 @@
     }
 
     std::string address_;
+    std::shared_ptr<tcp::acceptor> acceptor_;
     std::shared_ptr<script_type> script_;
     std::shared_ptr<std::vector<text_request>> arrived_ = std::make_shared<std::vector<text_request>>();
     std::shared_ptr<int> connections_ = std::make_shared<int>(0);
