--- a/src/gateway/backend_reply.cpp
+++ b/src/gateway/backend_reply.cpp
@@ -60,6 +60,13 @@
     co_return answer_kind::invalid;
 }
 
+void backend_reply::note_failed_read(const char* step, net_error ec) {
+    const bool ended = ec == http::error::end_of_stream || ec == http::error::partial_message;
+    const bool failed = ec.category() == asio::error::get_system_category();
+    connection_lost_ = ended || (failed && ec != asio::error::operation_aborted);
+    error_ = std::string(step) + ": " + ec.message();
+}
+
 task<bool> backend_reply::read_next_head() {
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
@@ -68,7 +75,7 @@
     net_error ec;
     co_await http::async_read_header(upstream_.socket, upstream_.buffer, *parser_, with_error(ec));
     if (ec) {
-        error_ = "reply head: " + ec.message();
+        note_failed_read("reply head", ec);
     }
     co_return !ec;
 }
@@ -98,7 +105,7 @@
     co_await http::async_read_some(upstream_.socket, upstream_.buffer, *parser_, with_error(ec));
     piece.assign(piece_buffer_.data(), piece_buffer_.size() - body.size);
     if (ec && ec != http::error::need_buffer) {
-        error_ = "reply body: " + ec.message();
+        note_failed_read("reply body", ec);
         co_return body_state::broken;
     }
     co_return parser_->is_done() ? body_state::complete : body_state::more;
--- a/src/gateway/backend_reply.h
+++ b/src/gateway/backend_reply.h
@@ -62,6 +62,9 @@
     /// Precondition: the body is complete.
     std::chrono::milliseconds reuse_time() const;
 
+    /// Returns whether the connection ended, in any way, before the reply was complete.
+    bool connection_lost() const { return connection_lost_; }
+
     /// Returns the cause of the last failure; empty if nothing failed.
     const std::string& error() const { return error_; }
 
@@ -71,12 +74,14 @@
     static constexpr std::size_t max_skipped_bytes = 1U << 20U;
     static constexpr std::size_t piece_bytes = 8192;
 
+    void note_failed_read(const char* step, net_error ec);
     task<bool> read_next_head();
     task<bool> skip_body();
 
     connection& upstream_;
     bool head_only_;
     bool skipped_foreign_reply_ = false;
+    bool connection_lost_ = false;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, piece_bytes> piece_buffer_{};
     std::string error_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -96,6 +96,7 @@
 private:
     std::optional<refusal> check_admission();
     std::optional<refusal> check_request();
+    std::optional<refusal> check_quarantine() const;
     void start_timeout();
     task<std::optional<refusal>> reserve_budget();
     task<void> send_until_answered();
@@ -112,6 +113,8 @@
     task<void> refuse(refusal rejection);
     bool is_next_attempt_allowed(attempt_outcome last);
     std::shared_ptr<tracked_backend> choose_server();
+    void note_answer_progress(bool whole);
+    void note_broken_answer(const tracked_backend& server) const;
     void note_server_notice(tracked_backend& server, const reply_head& head);
     void avoid_server(tracked_backend& server, milliseconds duration) {
         server.avoid_until = clock::now() + duration;
@@ -141,6 +144,9 @@
     std::vector<std::string> tried_server_ids_;
     int attempts_sent_ = 0; ///< Number of backend servers that the request was sent to.
     bool may_have_run_ = false;
+    std::optional<clock::time_point> answer_began_at_; ///< Time of the head of the current attempt's answer.
+    bool parts_survived_ = false;  ///< Whether the current attempt has shown that its prompt is harmless.
+    bool connection_lost_ = false; ///< Whether the server's connection ended inside the current answer.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
     std::optional<unread_prompt>
         unread_prompt_; ///< Prompt of the current attempt, until the server has read it.
@@ -208,11 +214,29 @@
     if (route_->carries_prompt && !terms_.prompt) {
         return refusal{refusal_reason::malformed, "the request does not state its prompt", {}};
     }
+    if (std::optional<refusal> refused = check_quarantine()) {
+        return refused;
+    }
     service_ = choose_service(*route_, random_below(1U << 30U));
     core_.retries.record_request(service_, clock::now());
     return std::nullopt;
 }
 
+/// Returns the refusal for a request with a prompt part in quarantine; nothing if it has none.
+template <class Core>
+std::optional<refusal> exchange<Core>::check_quarantine() const {
+    if (!terms_.prompt || core_.quarantine.empty()) {
+        return std::nullopt;
+    }
+    const auto found = core_.quarantine.find_quarantined(terms_.prompt->shared_parts, clock_reading::now());
+    if (!found) {
+        return std::nullopt;
+    }
+    return refusal{refusal_reason::quarantined,
+                   "backend servers crashed under requests with the prompt part \"" + found->part + "\"",
+                   found->time_left};
+}
+
 template <class Core>
 void exchange<Core>::start_timeout() {
     deadline_ = started_ + std::min(route_->timeout, terms_.deadline.value_or(route_->timeout));
@@ -255,6 +279,9 @@
         if (control_.cancelled() || time_left() < min_attempt_time) {
             co_return co_await send_final_answer(attempt_outcome::cancelled);
         }
+        if (check_quarantine()) { // The part may have got into quarantine during an earlier attempt.
+            co_return co_await send_final_answer(attempt_outcome::not_sent);
+        }
         const std::shared_ptr<tracked_backend> server = choose_server();
         if (server == nullptr) {
             co_return co_await send_final_answer(attempts_sent_ > 0 ? attempt_outcome::not_run
@@ -300,7 +327,7 @@
     placement.excluded = tried_server_ids_;
     placement.random = random_below(1U << 30U);
     if (terms_.prompt) {
-        placement.shared_prompt_part = terms_.prompt->shared_part;
+        placement.shared_prompt_part = terms_.prompt->last_shared_part();
         placement.shared_tokens = terms_.prompt->shared_tokens;
     }
     return choose_backend_server(core_.directory.ready_servers(service_), placement, clock::now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "net/address.h"
 #include "net/http_service.h"
 #include "net/metrics_service.h"
+#include "quarantine/quarantine_sync.h"
 #include "relay/ledger_client.h"
 #include "relay/relay_protocol.h"
 #include "store/object_follower.h"
@@ -29,12 +30,15 @@
 /// and the decoders of the platform's documents.
 template <class T>
 concept gateway_platform = caller_protocol<typename T::protocol> && followable_store<typename T::objects> &&
-    ledger_store<typename T::budgets> && requires(const Json::Value& document, const std::string& name) {
+    writable_store<typename T::objects> && ledger_store<typename T::budgets> &&
+    requires(const Json::Value& document, const std::string& name) {
     { T::decode_configuration(document) } -> std::same_as<result<std::shared_ptr<const fleet_configuration>>>;
     { T::decode_backend_server(name, document) } -> std::same_as<result<backend_server>>;
     { T::configuration_kind } -> std::convertible_to<std::string>;
     { T::configuration_name } -> std::convertible_to<std::string>;
     { T::backend_server_kind } -> std::convertible_to<std::string>;
+    { T::quarantine_kind } -> std::convertible_to<std::string>;
+    { T::quarantine_name } -> std::convertible_to<std::string>;
     { T::readiness_path } -> std::convertible_to<std::string>;
 };
 
@@ -78,7 +82,9 @@
           ledger_(control_pool_, direct_ledger_, log_sink()),
           budgets_(context, ledger_, {incarnation_, settings_.notice_listen}, settings_.allowances,
                    log_sink()),
-          core_(context, budgets_, log, metrics, settings_.retries, incarnation_) {}
+          core_(context, budgets_, log, metrics, settings_.retries, incarnation_),
+          quarantine_sync_(objects_, Platform::quarantine_kind, Platform::quarantine_name, core_.quarantine,
+                           core_.notices, log_sink()) {}
 
     /// Starts to listen and to follow the store. Fails if an address cannot be bound.
     result<done> start();
@@ -139,6 +145,7 @@
     ledger_client_type ledger_;
     budget_keeper_type budgets_;
     core core_;
+    quarantine_sync<typename Platform::objects> quarantine_sync_;
     std::optional<tcp::acceptor> acceptor_;
     std::vector<std::weak_ptr<caller_session<core>>> sessions_;
     std::set<std::string> announced_relays_; ///< Addresses of relays that relays or peers have announced.
@@ -173,6 +180,9 @@
                                                               configuration_callbacks()));
     spawn(object_follower<typename Platform::objects>::follow(objects_, Platform::backend_server_kind,
                                                               backend_callbacks()));
+    spawn(object_follower<typename Platform::objects>::follow(
+        objects_, Platform::quarantine_kind, quarantine_sync_.follow_with(common_callbacks())));
+    spawn(quarantine_sync_.run());
     spawn(budgets_.run());
     spawn(flush_log());
     spawn(run_maintenance());
@@ -260,6 +270,7 @@
         control_pool_.close_stale();
         metrics_.set("requests_running", core_.running_requests);
         metrics_.set("backend_connections_opened", double(core_.pool.opened_count()));
+        metrics_.set("prompt_parts_in_quarantine", double(core_.quarantine.quarantined_count()));
         metrics_.set("log_lines_dropped", double(log_.dropped_lines()));
         co_await sleep_for(maintenance_interval);
     }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -8,6 +8,8 @@
 #include "gateway/request_terms.h"
 #include "net/connection_pool.h"
 #include "placing/prompt_notices.h"
+#include "quarantine/crash_detector.h"
+#include "quarantine/part_quarantine.h"
 #include "retries/retry_budget.h"
 #include "routes/fleet_configuration.h"
 
@@ -41,7 +43,24 @@
     gateway_core(asio::io_context& io, Budgets& keeper, event_log& events, metrics_registry& registry,
                  const retry_limits& limits, const std::string& incarnation)
         : context(io), budgets(keeper), log(events), metrics(registry), pool(io), retries(limits),
-          notices(io, directory, incarnation) {}
+          notices(io), long_prompts(notices, directory, incarnation),
+          quarantine([this](const auto& parts, const evidence_by_part& evidence, bool is_quarantined) {
+              log_quarantine(parts, evidence, is_quarantined);
+          }),
+          crashes(io, pool, quarantine,
+                  [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }) {}
+
+    /// Logs that prompt parts got into quarantine or were released, with the servers that crashed under them.
+    void log_quarantine(const part_quarantine::part_group& parts, const evidence_by_part& evidence,
+                        bool is_quarantined) {
+        Json::Value fields;
+        for (const std::string& part : parts) {
+            fields["parts"].append(part);
+        }
+        fields["evidence"] = to_json(evidence);
+        log.write_failure(is_quarantined ? "prompt_parts_quarantined" : "prompt_parts_released",
+                          std::move(fields));
+    }
 
     asio::io_context& context;
     Budgets& budgets;
@@ -51,7 +70,10 @@
     connection_pool pool;
     retry_budget retries;
     backend_directory directory;
-    prompt_notices notices;
+    notice_channel notices;
+    prompt_notices long_prompts;
+    part_quarantine quarantine; ///< Prompt parts whose requests are kept from backend servers.
+    crash_detector crashes;
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
     bool refusing_requests = false;    ///< True late in a graceful stop, when new requests are refused.
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -20,19 +20,27 @@
         co_return attempt_outcome::cancelled;
     }
     std::unique_ptr<connection> upstream = std::move(opened.value());
-    if (!server->accepts_requests(clock::now())) { // It has begun to leave or to pause while we connected.
-        error_ = "server " + server->server.id + " accepts no requests";
+    // While this task waited for the connection, the server may have begun to leave or to pause, or a part of
+    // the prompt may have got into quarantine.
+    if (!server->accepts_requests(clock::now()) || check_quarantine()) {
+        error_ = "server " + server->server.id + " accepts no requests like this one";
         core_.pool.keep(std::move(upstream), backend_reply::default_reuse_time);
         co_return attempt_outcome::not_sent;
     }
     server->begin_request(clock::now());
-    unread_prompt_.emplace(core_.notices, server, terms_.prompt ? terms_.prompt->unshared_tokens() : 0);
+    unread_prompt_.emplace(core_.long_prompts, server, terms_.prompt ? terms_.prompt->unshared_tokens() : 0);
     control_.attach_upstream(upstream->socket);
     const bool may_have_run_before = may_have_run_;
     may_have_run_ = true;
     ++attempts_sent_;
+    answer_began_at_.reset();
+    parts_survived_ = false;
+    connection_lost_ = false;
     const attempt_outcome outcome = co_await send_and_receive(server, *upstream);
     control_.detach_upstream();
+    if (connection_lost_ && !control_.cancelled()) {
+        note_broken_answer(*server);
+    }
     --server->running_requests;
     unread_prompt_.reset();
     if (outcome == attempt_outcome::not_run || outcome == attempt_outcome::wrong_server) {
@@ -64,6 +72,7 @@
     }
     if (kind == answer_kind::invalid) {
         error_ = ec ? "send to " + upstream.peer + ": " + ec.message() : reply.error();
+        connection_lost_ = reply.connection_lost();
         avoid_server(*server, avoid_invalid_answer_time);
         co_return control_.cancelled() ? attempt_outcome::cancelled : attempt_outcome::invalid_answer;
     }
@@ -74,12 +83,20 @@
 task<attempt_outcome> exchange<Core>::forward_answer(tracked_backend& server, connection& upstream,
                                                      backend_reply& reply, answer_kind kind) {
     attempt_fields_["framing"] = name_of(reply.framing());
+    if (kind == answer_kind::success) {
+        answer_began_at_ = clock::now();
+    }
     attempt_outcome outcome = attempt_outcome::invalid_answer;
     if (kind == answer_kind::success && is_stream()) {
         outcome = co_await forward_stream(server, reply);
     } else {
         outcome = co_await forward_body(server, reply, kind);
     }
+    connection_lost_ = reply.connection_lost() || (outcome == attempt_outcome::broken_midway &&
+                                                   reply.framing() == body_framing::connection_end);
+    if (outcome == attempt_outcome::answered) {
+        note_answer_progress(true);
+    }
     const bool declined = kind == answer_kind::not_run || kind == answer_kind::wrong_server;
     if (declined) {
         avoid_server(server, kind == answer_kind::not_run ? avoid_declined_time : avoid_wrong_server_time);
@@ -123,6 +140,28 @@
     }
 }
 
+/// Tells the quarantine once that the prompt's parts are harmless: if the answer is whole, or if the server
+/// has been writing it for a while.
+template <class Core>
+void exchange<Core>::note_answer_progress(bool whole) {
+    const bool has_parts = terms_.prompt && !terms_.prompt->shared_parts.empty();
+    if (!has_parts || parts_survived_ || !answer_began_at_) {
+        return;
+    }
+    parts_survived_ = whole || clock::now() - *answer_began_at_ >= part_quarantine::survival_time;
+    if (parts_survived_) {
+        core_.quarantine.note_survival(terms_.prompt->shared_parts, *answer_began_at_, clock_reading::now());
+    }
+}
+
+/// Has the server checked for a crash, unless the answer has shown that its prompt is harmless.
+template <class Core>
+void exchange<Core>::note_broken_answer(const tracked_backend& server) const {
+    if (terms_.prompt && !parts_survived_) {
+        core_.crashes.note_broken_answer(server, terms_.prompt->shared_parts, answer_began_at_.has_value());
+    }
+}
+
 /// Forwards each event as soon as it is complete.
 template <class Core>
 task<attempt_outcome> exchange<Core>::forward_stream(tracked_backend& server, backend_reply& reply) {
@@ -151,6 +190,7 @@
         if (!complete_events.empty()) {
             first_event_after_ = first_event_after_.value_or(elapsed());
             unread_prompt_->mark_read();
+            note_answer_progress(false);
         }
         if (!co_await answer_.send_piece(std::move(complete_events))) {
             control_.note_caller_left();
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -39,6 +39,9 @@
     if (out_of_time) {
         return {refusal_reason::caller_deadline, "the time for the request is over", {}};
     }
+    if (std::optional<refusal> quarantined = check_quarantine()) {
+        return std::move(*quarantined);
+    }
     const auto pause = core_.directory.time_until_accepting(service_, clock::now());
     if (pause.value_or(milliseconds(0)) > milliseconds(0)) {
         return {refusal_reason::overloaded,
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -28,6 +28,7 @@
     reason_entry{refusal_reason::budget_unknown, "budget_unknown", http::status::service_unavailable},
     reason_entry{refusal_reason::no_backend_server, "no_backend_server", http::status::service_unavailable},
     reason_entry{refusal_reason::overloaded, "overloaded", http::status::service_unavailable},
+    reason_entry{refusal_reason::quarantined, "prompt_quarantined", http::status::service_unavailable},
     reason_entry{refusal_reason::draining, "draining", http::status::service_unavailable},
     reason_entry{refusal_reason::caller_deadline, "caller_deadline", http::status::service_unavailable},
     reason_entry{refusal_reason::timeout, "timeout", http::status::gateway_timeout},
--- a/src/gateway/refusal.h
+++ b/src/gateway/refusal.h
@@ -23,6 +23,7 @@
     budget_unknown,    ///< The budget could not be checked in time.
     no_backend_server, ///< No backend server of the service can be reached.
     overloaded,        ///< The backend servers that could take the request are full.
+    quarantined,       ///< A part of the prompt crashes the backend servers that answer it.
     draining,          ///< This process is stopping.
     caller_deadline,   ///< The deadline of the request passed, and the request has not run.
     timeout,           ///< The deadline of the request passed; the request may have run.
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace eelgrassgw {
 
@@ -14,8 +15,11 @@
 struct prompt_terms {
     tokens prompt_tokens = 0;
     tokens max_output_tokens = 0;
-    tokens shared_tokens = 0; ///< Number of `prompt_tokens` in parts that other requests share.
-    std::string shared_part;  ///< Last part of the prompt that other requests share; may be empty.
+    tokens shared_tokens = 0;              ///< Number of `prompt_tokens` in parts that other requests share.
+    std::vector<std::string> shared_parts; ///< Parts of the prompt that other requests share, in order.
+
+    /// Returns the last part that other requests share; empty if there is none.
+    std::string last_shared_part() const { return shared_parts.empty() ? "" : shared_parts.back(); }
 
     /// Returns the number of tokens that a server reads if it has already read the shared parts.
     tokens unshared_tokens() const { return prompt_tokens - shared_tokens; }
--- a/src/placing/prompt_notices.h
+++ b/src/placing/prompt_notices.h
@@ -4,21 +4,17 @@
 
 #include "backends/backend_directory.h"
 #include "eelgrassgw/base/failure.h"
-#include "net/task.h"
-
-#include <boost/asio/ip/udp.hpp>
+#include "net/notice_channel.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace eelgrassgw {
 
 /// Sends notices of this router's long prompts to the other routers, and receives theirs. Without notices, a
 /// prompt of tens of thousands of tokens delays the requests that other routers send to the same server by
-/// about a second. Notices are datagrams; losing one only makes the choice of a server worse. Not
-/// thread-safe.
+/// about a second. Losing a notice only makes the choice of a server worse. Not thread-safe.
 class prompt_notices {
 public:
     using clock = tracked_backend::clock;
@@ -29,16 +25,8 @@
     /// Time after which a received notice expires.
     static constexpr std::chrono::milliseconds notice_lifetime{2500};
 
-    static constexpr std::size_t max_peers = 64; ///< Maximum number of routers that are notified.
-
-    /// `router` identifies this process in its notices. Precondition: `directory` outlives this object.
-    prompt_notices(asio::io_context& context, backend_directory& directory, std::string router);
-
-    /// Starts to receive notices at `address`, which has the form IP:port.
-    result<done> start(const std::string& address);
-
-    /// Sets the addresses (IP:port) of the routers that receive notices from now on.
-    void set_peers(const std::vector<std::string>& peers);
+    /// `router` identifies this process in its notices. Precondition: the references outlive this object.
+    prompt_notices(notice_channel& channel, backend_directory& directory, std::string router);
 
     /// Notifies the other routers that `server` has a prompt of `tokens` to read. Returns the notice number,
     /// which `withdraw` requires.
@@ -48,16 +36,14 @@
     void withdraw(const std::string& server, std::uint64_t number);
 
     /// Handles a received notice. Fails with a description of the fault if the notice is malformed.
-    result<done> handle_notice(const std::string& datagram, clock::time_point now);
+    result<done> handle_notice(const Json::Value& notice, clock::time_point now);
 
 private:
-    task<void> receive();
     void send_notice(const std::string& server, std::uint64_t number, std::int64_t tokens);
 
+    notice_channel& channel_;
     backend_directory& directory_;
     std::string router_;
-    asio::ip::udp::socket socket_;
-    std::vector<asio::ip::udp::endpoint> peers_;
     std::uint64_t last_number_ = 0; ///< Number of the last notice that announced a prompt.
 };
 
--- /dev/null
+++ b/src/quarantine/crash_detector.h
@@ -0,0 +1,54 @@
+#pragma once
+
+/// Finds out whether a backend server whose connections broke has crashed.
+
+#include "backends/backend_directory.h"
+#include "base/event_sink.h"
+#include "net/connection_pool.h"
+#include "quarantine/part_quarantine.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrassgw {
+
+/// Reports a crash to the quarantine if a server that broke off answers takes no connections any more. A
+/// server that only broke off an answer, or whose connections were reset on the way, still takes them. Not
+/// thread-safe.
+class crash_detector {
+public:
+    using milliseconds = std::chrono::milliseconds;
+
+    /// Time after the first broken answer until the server is called. Answers that the same crash broke
+    /// off are noticed within it.
+    static constexpr milliseconds check_delay{50};
+    static constexpr milliseconds connect_timeout{300};
+
+    /// Precondition: the references outlive this object.
+    crash_detector(asio::io_context& context, connection_pool& pool, part_quarantine& quarantine,
+                   event_sink_function log)
+        : context_(context), pool_(pool), quarantine_(quarantine), log_(std::move(log)) {}
+
+    /// Notes that the server broke off the answer to a request with these shared prompt parts, and checks the
+    /// server soon. `after_begin` says whether the answer had begun.
+    void note_broken_answer(const tracked_backend& server, std::vector<std::string> parts, bool after_begin);
+
+private:
+    struct broken_answer {
+        std::vector<std::string> parts;
+        bool after_begin = false;
+    };
+
+    task<void> check(std::string incarnation, std::string address);
+    void report_crash(const std::string& incarnation, const std::vector<broken_answer>& answers);
+
+    asio::io_context& context_;
+    connection_pool& pool_;
+    part_quarantine& quarantine_;
+    event_sink_function log_;
+    std::map<std::string, std::vector<broken_answer>> unchecked_; ///< Broken answers by server incarnation.
+};
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/quarantine/part_evidence.cpp
@@ -0,0 +1,93 @@
+#include "quarantine/part_evidence.h"
+
+#include "eelgrassgw/base/json.h"
+
+#include <algorithm>
+
+namespace eelgrassgw {
+
+namespace {
+
+using wall_time = part_evidence::wall_time;
+
+Json::Int64 to_unix_ms(wall_time time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+wall_time time_member(const Json::Value& object, const char* name) {
+    return wall_time(std::chrono::milliseconds(int_member(object, name)));
+}
+
+/// Adds one router's view of a crash. Returns whether that changed anything.
+bool merge_crash(part_evidence::crash& known, const part_evidence::crash& other) {
+    const bool changed = (other.after_begin && !known.after_begin) || (other.outlived && !known.outlived) ||
+                         other.noted_at < known.noted_at;
+    known.noted_at = std::min(known.noted_at, other.noted_at);
+    known.after_begin = known.after_begin || other.after_begin;
+    known.outlived = known.outlived || other.outlived;
+    return changed;
+}
+
+Json::Value to_json(const part_evidence& evidence) {
+    Json::Value document;
+    document["was_answered"] = evidence.was_answered;
+    document["position"] = evidence.position;
+    for (const auto& [server, crash] : evidence.crashes) {
+        Json::Value& entry = document["crashes"][server];
+        entry["noted_ms"] = to_unix_ms(crash.noted_at);
+        entry["after_begin"] = crash.after_begin;
+        entry["outlived"] = crash.outlived;
+    }
+    return document;
+}
+
+} // namespace
+
+bool part_evidence::merge(const part_evidence& other) {
+    bool changed = (other.was_answered && !was_answered) || other.position > position;
+    was_answered = was_answered || other.was_answered;
+    position = std::max(position, other.position);
+    for (const auto& [server, crash] : other.crashes) {
+        const auto it = crashes.find(server);
+        if (it != crashes.end()) {
+            changed = merge_crash(it->second, crash) || changed;
+        } else if (crashes.size() < max_crashes) {
+            crashes.emplace(server, crash);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+Json::Value to_json(const evidence_by_part& evidence) {
+    Json::Value document(Json::objectValue);
+    for (const auto& [part, known] : evidence) {
+        document[part] = to_json(known);
+    }
+    return document;
+}
+
+result<evidence_by_part> parse_evidence(const Json::Value& document) {
+    if (!document.isObject()) {
+        return make_failure(errc::malformed, "parse crash evidence", "", "the document is not an object");
+    }
+    evidence_by_part evidence;
+    for (const std::string& part : document.getMemberNames()) {
+        const Json::Value& crashes = member(document[part], "crashes");
+        if (!document[part].isObject() || !(crashes.isNull() || crashes.isObject())) {
+            return make_failure(errc::malformed, "parse crash evidence", "",
+                                "prompt part \"" + part + "\" is not an object with crashes by server");
+        }
+        part_evidence& known = evidence[part];
+        known.was_answered = bool_member(document[part], "was_answered");
+        known.position = int(int_member(document[part], "position"));
+        for (const std::string& server : crashes.getMemberNames()) {
+            known.crashes[server] = {time_member(crashes[server], "noted_ms"),
+                                     bool_member(crashes[server], "after_begin"),
+                                     bool_member(crashes[server], "outlived")};
+        }
+    }
+    return evidence;
+}
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/quarantine/part_evidence.h
@@ -0,0 +1,49 @@
+#pragma once
+
+/// What the routers know of one prompt part under which backend servers crashed, and its JSON form.
+
+#include "eelgrassgw/base/failure.h"
+
+#include <json/json.h>
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace eelgrassgw {
+
+/// Evidence about one prompt part. Two routers' evidence is combined by `merge`, whose result does not depend
+/// on the order or on repetitions, as long as there are no more than `max_crashes`.
+struct part_evidence {
+    /// Crashes beyond this number say nothing new.
+    static constexpr std::size_t max_crashes = 48;
+
+    using wall_time = std::chrono::system_clock::time_point;
+
+    /// A crash of a backend server while it ran a request with the part.
+    struct crash {
+        wall_time noted_at{}; ///< Earliest time at which a router noted the crash, by that router's clock.
+        bool after_begin = false; ///< Whether the server had begun to answer such a request.
+        bool outlived = false;    ///< Whether another request with the part was answered after the crash.
+    };
+
+    std::map<std::string, crash> crashes; ///< Crashes by the incarnation of the server.
+
+    /// Whether a router has seen a request with the part answered before it heard of the crashes.
+    bool was_answered = false;
+
+    int position = 0; ///< Position of the part in its prompts, from 0. Later parts are more specific.
+
+    /// Adds what `other` knows. Returns whether that changed anything.
+    bool merge(const part_evidence& other);
+};
+
+using evidence_by_part = std::map<std::string, part_evidence>;
+
+/// Returns the evidence as a JSON document, with times in Unix milliseconds.
+Json::Value to_json(const evidence_by_part& evidence);
+
+/// Parses the result of `to_json`. The failure names the invalid part.
+result<evidence_by_part> parse_evidence(const Json::Value& document);
+
+} // namespace eelgrassgw
--- /dev/null
+++ b/src/quarantine/quarantine_sync.h
@@ -0,0 +1,153 @@
+#pragma once
+
+/// Shares the evidence about prompt parts among all routers, by notices and through the store.
+
+#include "base/event_sink.h"
+#include "eelgrassgw/base/hash.h"
+#include "eelgrassgw/base/json.h"
+#include "net/notice_channel.h"
+#include "quarantine/part_quarantine.h"
+#include "retries/backoff.h"
+#include "store/object_follower.h"
+#include "store/store_objects.h"
+
+#include <string>
+#include <utility>
+
+namespace eelgrassgw {
+
+/// Sends new evidence to the other routers, and keeps what must outlast the processes in one object of the
+/// store. Notices are fast and work while the store is away; the store reaches routers that notices
+/// do not, and those that start later. Not thread-safe.
+template <class Store>
+requires writable_store<Store> && followable_store<Store>
+class quarantine_sync {
+public:
+    using milliseconds = std::chrono::milliseconds;
+
+    /// Time between two rounds. A random time up to the same length is added, so that one router's
+    /// write spares the others theirs.
+    static constexpr milliseconds round_interval{200};
+    /// Time that a watch of the store waits for a change, which is rare.
+    static constexpr milliseconds watch_wait{10000};
+    static constexpr milliseconds initial_retry_delay{500};
+    static constexpr milliseconds max_retry_delay{4000};
+    static constexpr const char* notice_kind = "quarantine";
+
+    /// Uses the object `name` of `kind`. Precondition: the references outlive this object.
+    quarantine_sync(Store& store, std::string kind, std::string name, part_quarantine& quarantine,
+                    notice_channel& channel, event_sink_function log)
+        : store_(store), kind_(std::move(kind)), name_(std::move(name)), quarantine_(quarantine),
+          channel_(channel), log_(std::move(log)) {
+        channel_.set_handler(notice_kind,
+                             [this](const Json::Value& notice) { return handle_notice(notice); });
+    }
+
+    /// Shares new evidence until the process ends.
+    task<void> run() {
+        for (;;) {
+            co_await sleep_for(round_interval + milliseconds(random_below(round_interval.count())));
+            send_notices();
+            const auto update = quarantine_.plan_store_update(stored_, clock_reading::now());
+            if (update && !co_await write(*update)) {
+                co_await sleep_for(backoff_.next_delay());
+            }
+        }
+    }
+
+    /// Adds the functions that take in the stored object to `callbacks`, for the follower of its kind.
+    follower_callbacks follow_with(follower_callbacks callbacks) {
+        callbacks.watch_wait = watch_wait;
+        callbacks.listed = [this](const object_listing& all, bool) {
+            accept_listing(all);
+        };
+        callbacks.changed = [this](const followed_change& change, bool) {
+            if (change.object.name == name_ && change.removed) {
+                lift_all();
+            } else if (change.object.name == name_) {
+                accept(change.object);
+            }
+        };
+        return callbacks;
+    }
+
+private:
+    void send_notices() {
+        for (const auto& [part, evidence] : quarantine_.take_notices(clock_reading::now())) {
+            Json::Value notice;
+            notice["kind"] = notice_kind;
+            notice["parts"] = to_json(evidence_by_part{{part, evidence}});
+            channel_.send(notice);
+        }
+    }
+
+    result<done> handle_notice(const Json::Value& notice) {
+        const auto evidence = parse_evidence(member(notice, "parts"));
+        if (!evidence) {
+            return evidence.error();
+        }
+        quarantine_.merge(evidence.value(), clock_reading::now());
+        return done{};
+    }
+
+    /// An object that the store lacks was lost with an older copy, or never written; this router writes what
+    /// it knows again.
+    void accept_listing(const object_listing& all) {
+        stored_.clear();
+        position_ = {};
+        for (const followed_object& object : all.objects) {
+            if (object.name == name_) {
+                accept(object);
+            }
+        }
+    }
+
+    void accept(const followed_object& object) {
+        if (object.position.era == position_.era && object.position.revision <= position_.revision) {
+            return;
+        }
+        position_ = object.position;
+        auto evidence = parse_evidence(object.content);
+        if (!evidence) {
+            Json::Value fields;
+            fields["error"] = evidence.error().text();
+            log_("quarantine_rejected", std::move(fields));
+            return;
+        }
+        stored_ = std::move(evidence.value());
+        quarantine_.merge(stored_, clock_reading::now());
+    }
+
+    void lift_all() {
+        stored_.clear();
+        position_ = {};
+        quarantine_.clear();
+        log_("quarantines_lifted", Json::Value(Json::objectValue));
+    }
+
+    task<bool> write(evidence_by_part update) {
+        const Json::Value content = to_json(update);
+        const object_write written = co_await store_.write(kind_, name_, content, position_.revision);
+        if (written.status == object_write::status_kind::unknown) {
+            Json::Value fields;
+            fields["error"] = written.error;
+            log_("quarantine_not_stored", std::move(fields));
+            co_return false;
+        }
+        backoff_.reset();
+        accept(written.current);
+        co_return true;
+    }
+
+    Store& store_;
+    std::string kind_;
+    std::string name_;
+    part_quarantine& quarantine_;
+    notice_channel& channel_;
+    event_sink_function log_;
+    evidence_by_part stored_; ///< Content of the stored object, as this router knows it.
+    store_position position_; ///< Position of that object; revision 0 if it does not exist.
+    backoff backoff_{initial_retry_delay, max_retry_delay};
+};
+
+} // namespace eelgrassgw
--- a/src/store/object_follower.h
+++ b/src/store/object_follower.h
@@ -26,6 +26,9 @@
     /// watches at the same moment. May be empty, which means no delay.
     std::function<std::chrono::milliseconds()> relist_spread;
     event_sink_function log;
+
+    /// Time that one watch call waits for changes. A longer one costs fewer calls.
+    std::chrono::milliseconds watch_wait{2000};
 };
 
 /// Lists all objects and then watches for changes. Lists again if the store no longer has the changes since
@@ -36,8 +39,6 @@
 public:
     using clock = std::chrono::steady_clock;
 
-    /// Time that one watch call waits for changes.
-    static constexpr std::chrono::milliseconds watch_wait{2000};
     /// Delay before the first retry after a failed call.
     static constexpr std::chrono::milliseconds initial_retry_delay{100};
     /// Upper bound of that delay, which doubles with each further failure.
@@ -89,7 +90,7 @@
     }
 
     task<bool> watch() {
-        auto changes = co_await store_.watch(kind_, position_.revision, watch_wait);
+        auto changes = co_await store_.watch(kind_, position_.revision, callbacks_.watch_wait);
         if (!changes) {
             report_failure("watch", changes.error().text());
             co_return false;
@@ -140,8 +141,8 @@
 
     void note_reply() {
         const auto now = clock::now();
-        const bool silent =
-            last_reply_at_ != clock::time_point{} && now - last_reply_at_ > watch_wait + outage_threshold;
+        const bool silent = last_reply_at_ != clock::time_point{} &&
+                            now - last_reply_at_ > callbacks_.watch_wait + outage_threshold;
         if (silent || failing_) {
             outage_ended_at_ = now;
         }
--- a/src/store/store_objects.h
+++ b/src/store/store_objects.h
@@ -49,6 +49,26 @@
     bool history_lost = false; ///< True if the store no longer has the changes; list the objects again.
 };
 
+/// The outcome of a conditional write of an object.
+struct object_write {
+    enum class status_kind {
+        applied,  ///< The write succeeded; `current` is the written object.
+        conflict, ///< The write was not applied; `current` is the object as it is stored.
+        unknown,  ///< The write may have been applied, or may still be applied later.
+    };
+    status_kind status = status_kind::unknown;
+    followed_object current;
+    std::string error; ///< Error message if the outcome is `unknown`.
+};
+
+/// Requires a store that writes an object only if its revision still equals `expected_revision`, and creates
+/// it if that is 0.
+template <class T>
+concept writable_store = requires(T store, const std::string& text, const Json::Value& content,
+                                  std::uint64_t expected_revision) {
+    { store.write(text, text, content, expected_revision) } -> std::same_as<task<object_write>>;
+};
+
 /// Requires a store whose objects can be listed and watched.
 template <class T>
 concept followable_store = requires(T store, const std::string& kind, std::uint64_t since_revision,
--- a/test/gateway/adapter_test.cpp
+++ b/test/gateway/adapter_test.cpp
@@ -22,13 +22,13 @@
     ASSERT_TRUE(terms.ok());
     ASSERT_TRUE(terms.value().prompt.has_value());
     EXPECT_EQ(1540, terms.value().prompt->max_tokens());
-    EXPECT_EQ("b", terms.value().prompt->shared_part);
+    EXPECT_EQ((std::vector<std::string>{"a", "b"}), terms.value().prompt->shared_parts);
 }
 
 TEST(caller_protocol, prompt_with_a_single_part_has_no_shared_part) {
     const auto terms =
         caller_protocol().decode(request_with_headers({{"Token-Counts", "10,5"}, {"Prompt-Prefix", "a:10"}}));
-    EXPECT_EQ("", terms.value().prompt->shared_part);
+    EXPECT_TRUE(terms.value().prompt->shared_parts.empty());
 }
 
 TEST(caller_protocol, error_for_bad_token_counts_names_header_and_value) {
--- /dev/null
+++ b/test/gateway/part_quarantine_test.cpp
@@ -0,0 +1,501 @@
+/// Tests the decision which prompt parts are in quarantine, without a network.
+
+#include "quarantine/part_quarantine.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace eelgrassgw {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+const std::vector<std::string> deadly_request{"first", "deadly"};
+const std::vector<std::string> sound_request{"first", "session"};
+
+/// One router's view, with a clock that the test sets.
+struct router_view {
+    std::vector<part_quarantine::part_group> quarantined_groups;
+    part_quarantine quarantine{
+        [this](const part_quarantine::part_group& parts, const evidence_by_part&, bool is_quarantined) {
+            if (is_quarantined) {
+                quarantined_groups.push_back(parts);
+            } else {
+                std::erase(quarantined_groups, parts);
+            }
+        }};
+
+    bool rejects(const std::vector<std::string>& parts, clock_reading now) const {
+        return quarantine.find_quarantined(parts, now).has_value();
+    }
+};
+
+class part_quarantine_test : public ::testing::Test {
+protected:
+    void advance(milliseconds time) {
+        now.steady += time;
+        now.wall += time;
+    }
+    void crash(const std::string& server, const std::vector<std::string>& parts = deadly_request,
+               bool after_begin = true) {
+        router.quarantine.note_crash(parts, server, after_begin, now);
+    }
+    /// A request with these parts begins to be answered and is answered.
+    void answer(const std::vector<std::string>& parts) {
+        advance(10ms);
+        const auto began_at = now.steady;
+        advance(20ms);
+        router.quarantine.note_survival(parts, began_at, now);
+    }
+
+    clock_reading now = clock_reading::now();
+    router_view router;
+};
+
+TEST_F(part_quarantine_test, part_that_crashes_three_servers_in_a_row_is_in_quarantine) {
+    for (const char* server : {"s1", "s2"}) {
+        crash(server);
+        answer(sound_request);
+        advance(1s);
+    }
+    EXPECT_FALSE(router.rejects(deadly_request, now));
+    crash("s3");
+    EXPECT_TRUE(router.rejects(deadly_request, now));
+    EXPECT_FALSE(router.rejects(sound_request, now));
+    EXPECT_EQ(std::vector<part_quarantine::part_group>{{"deadly"}}, router.quarantined_groups);
+}
+
+TEST_F(part_quarantine_test, part_that_is_answered_after_each_crash_is_never_in_quarantine) {
+    for (int i = 0; i < 50; ++i) {
+        crash("s" + std::to_string(i), sound_request);
+        answer(sound_request);
+        advance(1s);
+    }
+    EXPECT_FALSE(router.rejects(sound_request, now));
+}
+
+TEST_F(part_quarantine_test, answer_that_began_before_the_crash_does_not_clear_a_part) {
+    const auto began_at = now.steady;
+    for (int i = 0; i < 5; ++i) {
+        advance(10ms);
+        crash("s" + std::to_string(i));
+        advance(1s);
+        router.quarantine.note_survival(deadly_request, began_at, now);
+    }
+    EXPECT_TRUE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, servers_that_crash_at_the_same_moment_count_once) {
+    for (int i = 0; i < 20; ++i) {
+        crash("s" + std::to_string(i), sound_request);
+        advance(10ms);
+    }
+    EXPECT_FALSE(router.rejects(sound_request, now));
+}
+
+TEST_F(part_quarantine_test, crash_that_is_reported_twice_counts_once) {
+    for (int i = 0; i < 10; ++i) {
+        crash("s1");
+        advance(1s);
+    }
+    EXPECT_FALSE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, part_that_was_answered_before_needs_more_crashes) {
+    answer(deadly_request);
+    for (int i = 0; i < 4; ++i) {
+        crash("s" + std::to_string(i));
+        advance(1s);
+    }
+    EXPECT_FALSE(router.rejects(deadly_request, now));
+    crash("s4");
+    EXPECT_TRUE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, router_learns_from_another_that_a_part_was_answered_before) {
+    answer({"session"});
+    router_view other;
+    for (int i = 0; i < 4; ++i) {
+        crash("s" + std::to_string(i), {"session"});
+        advance(1s);
+        other.quarantine.merge(router.quarantine.take_notices(now), now);
+    }
+    EXPECT_FALSE(other.rejects({"session"}, now));
+}
+
+TEST_F(part_quarantine_test, crashes_of_a_part_in_quarantine_do_not_count_against_other_parts) {
+    for (int i = 0; i < 20; ++i) {
+        crash("s" + std::to_string(i));
+        advance(400ms);
+    }
+    EXPECT_TRUE(router.rejects(deadly_request, now));
+    EXPECT_FALSE(router.rejects(sound_request, now));
+}
+
+TEST_F(part_quarantine_test, part_is_released_once_another_part_explains_its_crashes) {
+    router_view other;
+    for (const char* server : {"s1", "s2", "s3"}) {
+        crash(server, {"first"});
+        other.quarantine.note_crash(deadly_request, server, true, now);
+        advance(1s);
+    }
+    EXPECT_TRUE(router.rejects({"first"}, now));
+    router.quarantine.merge(other.quarantine.take_notices(now), now);
+    EXPECT_FALSE(router.rejects({"first"}, now));
+    EXPECT_TRUE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, parts_that_the_evidence_cannot_tell_apart_are_kept_back_together) {
+    const std::vector<std::string> three_parts{"first", "deadly", "session"};
+    for (const char* server : {"s1", "s2", "s3"}) {
+        crash(server, three_parts);
+        advance(1s);
+    }
+    EXPECT_TRUE(router.rejects(three_parts, now));
+    EXPECT_FALSE(router.rejects({"first", "session"}, now));
+    EXPECT_FALSE(router.rejects({"first", "deadly", "other session"}, now));
+    answer({"first", "session"});
+    EXPECT_TRUE(router.rejects({"first", "deadly", "other session"}, now));
+}
+
+TEST_F(part_quarantine_test, part_with_more_crashes_explains_those_of_a_part_that_comes_with_it) {
+    for (int i = 0; i < 6; ++i) {
+        crash("s" + std::to_string(i), {"deadly", i < 3 ? "session" : "other session"});
+        advance(1s);
+    }
+    EXPECT_TRUE(router.rejects({"deadly"}, now));
+    EXPECT_FALSE(router.rejects({"session"}, now));
+}
+
+TEST_F(part_quarantine_test, crashes_before_the_answer_began_count_for_less) {
+    for (const char* server : {"s1", "s2", "s3", "s4", "s5"}) {
+        crash(server, deadly_request, false);
+        advance(1s);
+    }
+    EXPECT_FALSE(router.rejects(deadly_request, now));
+    crash("s6", deadly_request, false);
+    EXPECT_TRUE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, crashes_long_ago_are_forgotten) {
+    crash("s1");
+    crash("s2");
+    advance(part_quarantine::crash_retention + 1s);
+    crash("s3");
+    EXPECT_FALSE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, quarantine_ends_after_its_time) {
+    for (const char* server : {"s1", "s2", "s3"}) {
+        crash(server);
+        advance(1s);
+    }
+    const auto found = router.quarantine.find_quarantined(deadly_request, now);
+    ASSERT_TRUE(found.has_value());
+    EXPECT_EQ("deadly", found->part);
+    advance(found->time_left);
+    EXPECT_FALSE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, crashes_that_several_routers_saw_add_up) {
+    for (const char* server : {"s1", "s2", "s3"}) {
+        router_view other;
+        other.quarantine.note_crash(deadly_request, server, true, now);
+        advance(part_quarantine::notice_delay);
+        router.quarantine.merge(other.quarantine.take_notices(now), now);
+        advance(1s);
+    }
+    EXPECT_TRUE(router.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, quarantine_of_one_router_holds_at_another) {
+    for (const char* server : {"s1", "s2", "s3"}) {
+        crash(server);
+        advance(1s);
+    }
+    router_view other;
+    other.quarantine.merge(router.quarantine.take_notices(now), now);
+    EXPECT_TRUE(other.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, part_that_is_answered_soon_after_a_crash_is_not_reported) {
+    crash("s1", sound_request);
+    EXPECT_TRUE(router.quarantine.take_notices(now).empty());
+    answer({"first"});
+    advance(part_quarantine::notice_delay);
+    const evidence_by_part notices = router.quarantine.take_notices(now);
+    EXPECT_FALSE(notices.contains("first"));
+    EXPECT_TRUE(notices.contains("session"));
+    EXPECT_TRUE(router.quarantine.take_notices(now).empty()) << "a notice is sent once";
+}
+
+TEST_F(part_quarantine_test, answer_after_a_reported_crash_clears_the_part_at_other_routers) {
+    router_view other;
+    for (const char* server : {"s1", "s2", "s3", "s4"}) {
+        crash(server, sound_request);
+        advance(part_quarantine::notice_delay);
+        other.quarantine.merge(router.quarantine.take_notices(now), now);
+        answer(sound_request);
+        other.quarantine.merge(router.quarantine.take_notices(now), now);
+        advance(1s);
+    }
+    EXPECT_FALSE(other.rejects(sound_request, now));
+}
+
+TEST_F(part_quarantine_test, store_gets_a_crash_only_if_the_part_is_not_answered_for_a_while) {
+    crash("s1");
+    EXPECT_FALSE(router.quarantine.plan_store_update({}, now).has_value());
+    advance(part_quarantine::store_delay);
+    const auto update = router.quarantine.plan_store_update({}, now);
+    ASSERT_TRUE(update.has_value());
+    EXPECT_TRUE(update->contains("deadly"));
+    EXPECT_FALSE(router.quarantine.plan_store_update(*update, now).has_value());
+}
+
+TEST_F(part_quarantine_test, store_gets_a_quarantine_at_once_and_from_one_router_only) {
+    for (const char* server : {"s1", "s2", "s3"}) {
+        crash(server);
+        advance(400ms);
+    }
+    const auto update = router.quarantine.plan_store_update({}, now);
+    ASSERT_TRUE(update.has_value());
+    router_view other;
+    other.quarantine.merge(*update, now);
+    EXPECT_FALSE(other.quarantine.plan_store_update(*update, now).has_value());
+}
+
+TEST_F(part_quarantine_test, store_learns_that_a_part_it_holds_was_answered) {
+    crash("s1", sound_request);
+    advance(part_quarantine::store_delay);
+    const auto stored = router.quarantine.plan_store_update({}, now);
+    ASSERT_TRUE(stored.has_value());
+    answer(sound_request);
+    const auto update = router.quarantine.plan_store_update(*stored, now);
+    ASSERT_TRUE(update.has_value());
+    EXPECT_TRUE(update->at("session").crashes.at("s1").outlived);
+}
+
+TEST_F(part_quarantine_test, restarted_router_takes_quarantines_and_crashes_from_the_store) {
+    crash("s1");
+    advance(10s);
+    crash("s2");
+    advance(10s);
+    const Json::Value stored = to_json(*router.quarantine.plan_store_update({}, now));
+    router_view restarted;
+    const auto evidence = parse_evidence(stored);
+    ASSERT_TRUE(evidence.ok()) << evidence.error().text();
+    restarted.quarantine.merge(evidence.value(), now);
+    restarted.quarantine.note_crash(deadly_request, "s3", true, now);
+    EXPECT_TRUE(restarted.rejects(deadly_request, now));
+}
+
+TEST_F(part_quarantine_test, malformed_evidence_is_rejected) {
+    EXPECT_FALSE(parse_evidence(Json::Value("text")).ok());
+    Json::Value document;
+    document["part"] = 5;
+    EXPECT_FALSE(parse_evidence(document).ok());
+    document["part"] = Json::objectValue;
+    document["part"]["crashes"] = "many";
+    EXPECT_FALSE(parse_evidence(document).ok());
+}
+
+TEST_F(part_quarantine_test, number_of_tracked_parts_is_bounded) {
+    for (std::size_t i = 0; i < 2 * part_quarantine::max_tracked_parts; ++i) {
+        crash("s1", {"part-" + std::to_string(i)});
+    }
+    advance(part_quarantine::store_delay);
+    const auto update = router.quarantine.plan_store_update({}, now);
+    ASSERT_TRUE(update.has_value());
+    EXPECT_EQ(part_quarantine::max_tracked_parts, update->size());
+}
+
+TEST(part_evidence, merging_does_not_depend_on_order_or_repetition) {
+    std::mt19937 random(1);
+    const auto start = std::chrono::system_clock::now();
+    for (int round = 0; round < 100; ++round) {
+        std::vector<part_evidence> views(6);
+        for (part_evidence& each : views) {
+            for (unsigned i = 0; i < 3; ++i) {
+                const std::string server = "s" + std::to_string(random() % 4);
+                each.crashes[server] = {start + milliseconds(random() % 9), random() % 2 == 0,
+                                        random() % 2 == 0};
+            }
+            each.was_answered = random() % 2 == 0;
+            each.position = int(random() % 3);
+        }
+        part_evidence forward;
+        part_evidence shuffled;
+        for (const part_evidence& each : views) {
+            forward.merge(each);
+        }
+        std::shuffle(views.begin(), views.end(), random);
+        for (const part_evidence& each : views) {
+            shuffled.merge(each);
+            shuffled.merge(views.front());
+        }
+        EXPECT_EQ(to_json(evidence_by_part{{"part", forward}}),
+                  to_json(evidence_by_part{{"part", shuffled}}));
+    }
+}
+
+/// How the routers of a simulated fleet reach one another.
+enum class sharing { notices_and_store, notices_only, store_only };
+
+/// Plays requests of several routers to servers that crash under one prompt part, without a network. A
+/// request takes its turn on a server after a random time, and its answer takes longer than the crash that
+/// the deadly part causes at its beginning. A server is back after some seconds.
+class crash_load {
+public:
+    static constexpr int router_count = 5;
+    static constexpr int server_count = 12;
+    static constexpr milliseconds step{5};
+    static constexpr milliseconds contact_time{3000};
+
+    crash_load(sharing how, unsigned seed, double deadly_share)
+        : how_(how), random_(seed), deadly_share_(deadly_share), routers_(router_count),
+          servers_(server_count) {}
+
+    void play(std::chrono::seconds time) {
+        for (milliseconds played{0}; played < time; played += step) {
+            now_.steady += step;
+            now_.wall += step;
+            if (random_() % 1000 < 600) {
+                send_request();
+            }
+            for (server_state& each : servers_) {
+                run_server(each);
+            }
+            if (played % 250ms == 0ms) {
+                share();
+            }
+        }
+    }
+
+    int deadly_after_bound = 0; ///< Deadly requests that reached servers after the bound.
+    int sound_rejected = 0;
+    int sound_sent = 0;
+    int crashes = 0;
+
+private:
+    struct running_request {
+        std::vector<std::string> parts;
+        std::size_t router = 0;
+        part_quarantine::steady_time begins_at;
+        bool survived = false;
+    };
+    struct server_state {
+        std::vector<running_request> running;
+        part_quarantine::steady_time back_at{};
+        int starts = 0;
+    };
+
+    bool is_deadly(const std::vector<std::string>& parts) const { return parts.back() == "deadly"; }
+
+    void send_request() {
+        const bool deadly = double(random_() % 10000) < deadly_share_ * 10000;
+        const std::vector<std::string> parts{"first", deadly ? "deadly"
+                                                             : "session-" + std::to_string(random_() % 200)};
+        const std::size_t router = random_() % router_count;
+        const bool rejected = routers_[router].rejects(parts, now_);
+        if (!deadly) {
+            ++sound_sent;
+            sound_rejected += rejected ? 1 : 0;
+        }
+        server_state& server = servers_[random_() % server_count];
+        if (rejected || server.back_at > now_.steady) {
+            return;
+        }
+        const bool past_bound = fifth_crash_at_ && now_.steady - *fifth_crash_at_ > contact_time;
+        deadly_after_bound += deadly && past_bound ? 1 : 0;
+        server.running.push_back({parts, router, now_.steady + milliseconds(50 + random_() % 300)});
+    }
+
+    void run_server(server_state& server) {
+        constexpr milliseconds time_to_crash{50};
+        constexpr milliseconds answer_time{1500};
+        bool crashed = false;
+        for (running_request& each : server.running) {
+            const auto age = now_.steady - each.begins_at;
+            crashed = crashed || (is_deadly(each.parts) && age >= time_to_crash);
+            if (!each.survived && age >= part_quarantine::survival_time) {
+                each.survived = true;
+                routers_[each.router].quarantine.note_survival(each.parts, each.begins_at, now_);
+            }
+        }
+        if (crashed) {
+            crash(server);
+        }
+        std::erase_if(server.running,
+                      [&](const auto& each) { return now_.steady - each.begins_at >= answer_time; });
+    }
+
+    void crash(server_state& server) {
+        constexpr std::chrono::seconds restart_time{3};
+        const std::string incarnation =
+            std::to_string(&server - servers_.data()) + "@" + std::to_string(server.starts++);
+        for (const running_request& each : server.running) {
+            if (!each.survived) {
+                routers_[each.router].quarantine.note_crash(each.parts, incarnation,
+                                                            each.begins_at <= now_.steady, now_);
+            }
+        }
+        server.running.clear();
+        server.back_at = now_.steady + restart_time;
+        if (++crashes == 5) {
+            fifth_crash_at_ = now_.steady;
+        }
+    }
+
+    void share() {
+        for (std::size_t i = 0; i < routers_.size(); ++i) {
+            const evidence_by_part notices = routers_[i].quarantine.take_notices(now_);
+            for (std::size_t j = 0; j < routers_.size() && how_ != sharing::store_only; ++j) {
+                if (i != j) {
+                    routers_[j].quarantine.merge(notices, now_);
+                }
+            }
+            const auto update = routers_[i].quarantine.plan_store_update(stored_, now_);
+            if (update && how_ != sharing::notices_only) {
+                stored_ = *update;
+            }
+        }
+        for (router_view& each : routers_) {
+            each.quarantine.merge(stored_, now_);
+        }
+    }
+
+    sharing how_;
+    std::mt19937 random_;
+    double deadly_share_;
+    clock_reading now_ = clock_reading::now();
+    std::vector<router_view> routers_;
+    std::vector<server_state> servers_;
+    evidence_by_part stored_;
+    std::optional<part_quarantine::steady_time> fifth_crash_at_;
+};
+
+class crash_load_test : public ::testing::TestWithParam<sharing> {};
+
+TEST_P(crash_load_test, deadly_requests_are_kept_from_servers_and_sound_ones_are_not) {
+    constexpr int max_deadly_requests = 3;
+    for (const double deadly_share : {0.002, 0.02, 0.1, 0.3, 0.6}) {
+        for (unsigned seed = 1; seed <= 10; ++seed) {
+            crash_load load(GetParam(), seed, deadly_share);
+            load.play(std::chrono::seconds(60));
+            EXPECT_LE(load.deadly_after_bound, max_deadly_requests)
+                << "seed " << seed << ", share " << deadly_share << ", crashes " << load.crashes;
+            EXPECT_LE(load.sound_rejected, load.sound_sent / 100)
+                << "seed " << seed << ", share " << deadly_share << ", sent " << load.sound_sent;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(ways, crash_load_test,
+                         ::testing::Values(sharing::notices_and_store, sharing::notices_only,
+                                           sharing::store_only));
+
+} // namespace
+} // namespace eelgrassgw
--- a/test/gateway/prompt_notices_test.cpp
+++ b/test/gateway/prompt_notices_test.cpp
@@ -3,6 +3,7 @@
 #include "placing/prompt_notices.h"
 
 #include "eelgrassgw/base/hash.h"
+#include "eelgrassgw/base/json.h"
 #include "loopback.h"
 #include "placing/placement.h"
 #include "task_runner.h"
@@ -34,38 +35,44 @@
                R"(","tokens":)" + std::to_string(tokens) + "}";
     }
 
+    result<done> handle(const std::string& datagram) {
+        const auto parsed = parse_json(datagram);
+        return parsed ? notices.handle_notice(parsed.value(), now) : channel.handle_datagram(datagram);
+    }
+
     asio::io_context context;
     backend_directory directory;
-    prompt_notices notices{context, directory, "self"};
+    notice_channel channel{context};
+    prompt_notices notices{channel, directory, "self"};
     tracked_backend::clock::time_point now = tracked_backend::clock::now();
 };
 
 TEST_F(prompt_notices_test, announced_prompt_counts_until_it_is_withdrawn) {
-    ASSERT_TRUE(notices.handle_notice(notice(1, 50000), now).ok());
+    ASSERT_TRUE(handle(notice(1, 50000)).ok());
     EXPECT_EQ(50000, unread());
-    ASSERT_TRUE(notices.handle_notice(notice(1, 0), now).ok());
+    ASSERT_TRUE(handle(notice(1, 0)).ok());
     EXPECT_EQ(0, unread());
 }
 
 TEST_F(prompt_notices_test, prompt_that_is_never_withdrawn_expires) {
-    ASSERT_TRUE(notices.handle_notice(notice(1, 50000), now).ok());
+    ASSERT_TRUE(handle(notice(1, 50000)).ok());
     EXPECT_EQ(0, unread(prompt_notices::notice_lifetime));
 }
 
 TEST_F(prompt_notices_test, notice_that_arrives_twice_counts_once) {
-    ASSERT_TRUE(notices.handle_notice(notice(1, 50000), now).ok());
-    ASSERT_TRUE(notices.handle_notice(notice(1, 50000), now).ok());
+    ASSERT_TRUE(handle(notice(1, 50000)).ok());
+    ASSERT_TRUE(handle(notice(1, 50000)).ok());
     EXPECT_EQ(50000, unread());
 }
 
 TEST_F(prompt_notices_test, notice_about_an_unknown_server_is_ignored) {
-    EXPECT_TRUE(notices.handle_notice(notice(1, 50000, "stranger"), now).ok());
+    EXPECT_TRUE(handle(notice(1, 50000, "stranger")).ok());
     EXPECT_EQ(0, unread());
 }
 
 TEST_F(prompt_notices_test, malformed_notices_are_rejected) {
-    EXPECT_FALSE(notices.handle_notice("bytes", now).ok());
-    EXPECT_FALSE(notices.handle_notice(R"({"from":"other","server":"s1","tokens":-5})", now).ok());
+    EXPECT_FALSE(handle("bytes").ok());
+    EXPECT_FALSE(handle(R"({"from":"other","server":"s1","tokens":-5})").ok());
     EXPECT_EQ(0, unread());
 }
 
@@ -79,11 +86,12 @@
 TEST_F(prompt_notices_test, long_prompts_are_announced_over_the_network) {
     backend_directory elsewhere;
     elsewhere.put(entry_of("s1"));
-    prompt_notices other(context, elsewhere, "other");
+    notice_channel other_channel(context);
+    const prompt_notices other(other_channel, elsewhere, "other");
     const std::string address = next_loopback_address();
-    ASSERT_TRUE(other.start(address).ok());
-    ASSERT_TRUE(notices.start(next_loopback_address()).ok());
-    notices.set_peers({address});
+    ASSERT_TRUE(other_channel.start(address).ok());
+    ASSERT_TRUE(channel.start(next_loopback_address()).ok());
+    channel.set_peers({address});
     run_task(context, [&]() -> task<void> {
         unread_prompt own(notices, directory.find("s1"), 50000);
         co_await sleep_for(50ms);
