Soak: answers without a length, streams closed inside an event, a prompt part that ends servers

The soak's servers now answer one request in four with neither a length nor chunks, close such streams inside an event, and end with all their connections when they begin to answer a request with the deadly part; they are back after 0.5 to 2 s as a new start. Checked: such a request never succeeds; at rest, after five such crashes and 3 s, at most three more of 20 reach a server; and the fleet serves the same first parts.

New choices have generators of their own, so that the earlier schedules of faults stay.

--- a/test/gateway/started_program.h
+++ b/test/gateway/started_program.h
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <limits>
 #include <string>
 
 namespace eelgrassgw {
@@ -27,6 +28,8 @@
             const int output = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, log_file_mode);
             dup2(output, STDOUT_FILENO);
             dup2(output, STDERR_FILENO);
+            // A connection that the test closes must not stay open in the program.
+            close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
             setenv("EELGRASSGW_NODE_FILE", settings_file.c_str(), 1);
             execl(path.c_str(), name.c_str(), nullptr);
             _exit(127);
--- a/test/soak/fault_link.cpp
+++ b/test/soak/fault_link.cpp
@@ -21,11 +21,25 @@
 
 } // namespace
 
-fault_link::fault_link(asio::io_context& context, const std::string& listen, std::string target) {
+fault_link::fault_link(asio::io_context& context, const std::string& listen, std::string target)
+    : context_(context), listen_(listen) {
     state_->target = std::move(target);
-    auto acceptor = listen_on(context, listen);
+    start_listening();
+}
+
+void fault_link::start_listening() {
+    auto acceptor = listen_on(context_, listen_);
     EXPECT_TRUE(acceptor.ok()) << acceptor.error().text();
-    asio::co_spawn(context, accept_connections(std::move(acceptor.value()), state_), asio::detached);
+    acceptor_ = std::make_shared<tcp::acceptor>(std::move(acceptor.value()));
+    asio::co_spawn(context_, accept_connections(acceptor_, state_), asio::detached);
+}
+
+task<void> fault_link::go_down(std::chrono::milliseconds duration) {
+    net_error ignored;
+    acceptor_->close(ignored);
+    reset_connections();
+    co_await sleep_for(duration);
+    start_listening();
 }
 
 void fault_link::reset_connections() {
@@ -37,12 +51,13 @@
     state_->open_sockets.clear();
 }
 
-task<void> fault_link::accept_connections(tcp::acceptor acceptor, std::shared_ptr<shared_state> state) {
-    for (;;) {
+task<void> fault_link::accept_connections(std::shared_ptr<tcp::acceptor> acceptor,
+                                          std::shared_ptr<shared_state> state) {
+    while (acceptor->is_open()) {
         net_error ec;
-        auto client = std::make_shared<tcp::socket>(co_await acceptor.async_accept(with_error(ec)));
+        auto client = std::make_shared<tcp::socket>(co_await acceptor->async_accept(with_error(ec)));
         if (!ec) {
-            asio::co_spawn(acceptor.get_executor(), connect_to_target(client, state), asio::detached);
+            asio::co_spawn(acceptor->get_executor(), connect_to_target(client, state), asio::detached);
         }
     }
 }
@@ -82,8 +97,14 @@
             co_await asio::async_write(*to, asio::buffer(bytes.data(), n), with_error(write_error));
         }
     }
-    net_error ignored;
-    to->shutdown(tcp::socket::shutdown_send, ignored);
+    // The end of a connection must not arrive in place of bytes that were lost, nor a close in place of a
+    // reset.
+    if (ec != asio::error::eof) {
+        reset_connection(*to);
+    } else if (!lost) {
+        net_error ignored;
+        to->shutdown(tcp::socket::shutdown_send, ignored);
+    }
 }
 
 } // namespace eelgrassgw
--- a/test/soak/fault_link.h
+++ b/test/soak/fault_link.h
@@ -33,6 +33,13 @@
     /// Resets all open connections.
     void reset_connections();
 
+    /// Behaves like a server whose process ends: resets all connections and refuses new ones for `duration`.
+    /// Precondition: the link is not down.
+    task<void> go_down(std::chrono::milliseconds duration);
+
+    /// Returns whether new connections are refused.
+    bool is_down() const { return !acceptor_->is_open(); }
+
 private:
     struct shared_state {
         link_fault fault = link_fault::none;
@@ -40,12 +47,17 @@
         std::vector<std::weak_ptr<tcp::socket>> open_sockets;
     };
 
-    static task<void> accept_connections(tcp::acceptor acceptor, std::shared_ptr<shared_state> state);
+    void start_listening();
+    static task<void> accept_connections(std::shared_ptr<tcp::acceptor> acceptor,
+                                         std::shared_ptr<shared_state> state);
     static task<void> connect_to_target(std::shared_ptr<tcp::socket> client,
                                         std::shared_ptr<shared_state> state);
     static task<void> forward_bytes(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to,
                                     std::shared_ptr<shared_state> state, bool carries_answers);
 
+    asio::io_context& context_;
+    std::string listen_;
+    std::shared_ptr<tcp::acceptor> acceptor_;
     std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
 };
 
--- a/test/soak/soak_backend.cpp
+++ b/test/soak/soak_backend.cpp
@@ -29,25 +29,58 @@
         co_await serve_stream(exchange);
         co_return;
     }
-    co_await exchange.answer(200, make_plain_answer(attempt_id));
+    co_await answer_plain_request(exchange);
+}
+
+task<void> soak_backend::answer_plain_request(backend_exchange& exchange) {
+    const std::string body = make_plain_answer(exchange.header("Attempt-Id"));
+    if (!draw_unframed()) {
+        co_await exchange.answer(200, body);
+        co_return;
+    }
+    co_await exchange.write(exchange.genuine_head(200) + "Connection: close\r\n\r\n" + body);
+    exchange.break_off(false);
+}
+
+task<void> soak_backend::write_stream_piece(backend_exchange& exchange, bool unframed, std::string bytes) {
+    if (unframed) {
+        co_await exchange.write(std::move(bytes));
+    } else {
+        co_await exchange.piece(std::move(bytes));
+    }
 }
 
 task<void> soak_backend::serve_stream(backend_exchange& exchange) {
     const std::string attempt_id = exchange.header("Attempt-Id");
     const std::string last_event_id = exchange.header("Last-Event-Id");
-    co_await exchange.start_stream();
+    const bool unframed = draw_unframed();
+    if (unframed) {
+        co_await exchange.write(exchange.genuine_head(200) + "Connection: close\r\n\r\n");
+    } else {
+        co_await exchange.start_stream();
+    }
+    if (exchange.header("Prompt-Prefix").find(deadly_part) != std::string::npos) {
+        ++state_->crashes;
+        crash();
+        exchange.break_off(true);
+        co_return;
+    }
     for (int number = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1; number <= events_per_stream;
          ++number) {
         const std::string event = make_stream_event(attempt_id, number);
         if (state_->draw_failure(1)) {
-            co_await exchange.piece(event.substr(0, event.size() / 2));
-            exchange.break_off(true);
+            co_await write_stream_piece(exchange, unframed, event.substr(0, event.size() / 2));
+            exchange.break_off(!unframed);
             co_return;
         }
-        co_await exchange.piece(event);
+        co_await write_stream_piece(exchange, unframed, event);
         co_await sleep_for(10ms);
     }
-    co_await exchange.end();
+    if (unframed) {
+        exchange.break_off(false);
+    } else {
+        co_await exchange.end();
+    }
 }
 
 } // namespace eelgrassgw
--- a/test/soak/soak_backend.h
+++ b/test/soak/soak_backend.h
@@ -5,6 +5,7 @@
 
 #include "gateway/scripted_backend.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -16,8 +17,12 @@
 struct soak_state {
     std::map<std::string, int> runs; ///< Number of runs by the id of the caller's attempt.
     std::mt19937 random;             ///< Source of all random choices of the backend servers.
+    std::mt19937 random_framing;     ///< Source of the choice how answers are framed.
     bool failures_disabled = false;  ///< True if the backend servers no longer inject failures.
 
+    /// Number of requests with the deadly part that servers began to answer, each of which ended its server.
+    int crashes = 0;
+
     /// Returns true with a probability of `percent`, or false if failures are disabled.
     bool draw_failure(unsigned percent) { return !failures_disabled && random() % 100 < percent; }
 };
@@ -29,6 +34,9 @@
 
 constexpr int events_per_stream = 20;
 
+/// Shared prompt part that ends each server which begins to answer a request with it.
+constexpr const char* deadly_part = "deadbeef";
+
 /// Returns the event with this number of the stream that answers the request `id`.
 inline std::string make_stream_event(const std::string& id, int number) {
     return "id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n";
@@ -42,9 +50,17 @@
     /// Id of this server. The server declines requests that name another id.
     std::string id;
 
+    /// Function that makes the server's address unreachable for a while, as after the end of its process.
+    std::function<void()> crash;
+
 private:
     task<void> serve(backend_exchange& exchange);
     task<void> serve_stream(backend_exchange& exchange);
+    task<void> answer_plain_request(backend_exchange& exchange);
+    static task<void> write_stream_piece(backend_exchange& exchange, bool unframed, std::string bytes);
+
+    /// Returns true for one in four answers, which have neither a length nor chunks.
+    bool draw_unframed() { return state_->random_framing() % 4 == 0; }
 
     std::shared_ptr<soak_state> state_;
     scripted_backend server_;
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -57,6 +57,8 @@
     void SetUp() override {
         random.seed(GetParam());
         state->random.seed(GetParam() + 1);
+        state->random_framing.seed(GetParam() + 2);
+        random_deadly.seed(GetParam() + 3);
         folder = std::filesystem::temp_directory_path() /
                  ("eelgrass-soak-" + std::to_string(getpid()) + "-" + std::to_string(GetParam()));
         std::filesystem::create_directories(folder);
@@ -116,6 +118,23 @@
         server_links.push_back(std::make_unique<fault_link>(context, link_address, server_address));
         server_addresses.push_back(link_address);
         announce(servers.back()->id, service, link_address, "ready");
+        servers.back()->crash = [this, i = servers.size() - 1] {
+            asio::co_spawn(context, crash_server(i), asio::detached);
+        };
+    }
+
+    /// Ends a server and starts it again at its address a little later. Its entry vanishes meanwhile.
+    task<void> crash_server(std::size_t i) {
+        if (server_links[i]->is_down()) {
+            co_return;
+        }
+        const std::string id = servers[i]->id;
+        const std::string service = id.substr(0, id.find('-'));
+        remove_entry(id);
+        co_await server_links[i]->go_down(milliseconds(500 + random_deadly() % 1500));
+        if (servers[i]->id == id) { // Otherwise another server has taken the address over.
+            announce(id, service, server_addresses[i], "ready", ++last_started_ms);
+        }
     }
 
     void add_process(const std::string& program, Json::Value document) {
@@ -164,6 +183,53 @@
         return stream;
     }
 
+    /// Sends a request whose prompt has the deadly part to the router with this index. It must not succeed.
+    task<unsigned> send_deadly_request(std::size_t router) {
+        const std::string headers = "Model: m\r\nToken-Counts: " + std::to_string(prompt_tokens) +
+                                    ",120\r\nPrompt-Prefix: a" + std::to_string(random_deadly() % 4) +
+                                    ":400," + deadly_part + ":200,b" + std::to_string(random_deadly()) +
+                                    ":400\r\n";
+        raw_caller caller(context);
+        co_await caller.connect(router_addresses[router]);
+        co_await caller.send(request("POST", "/draft/" + std::to_string(random_deadly() % 100), headers));
+        const auto answer = co_await caller.read_answer(6s);
+        const unsigned status = answer ? answer->result_int() : 0;
+        EXPECT_NE(200U, status) << "a request that ended its server was answered as complete";
+        co_return status;
+    }
+
+    task<void> run_deadly_caller() {
+        ++active_callers;
+        while (!stopping) {
+            co_await sleep_for(milliseconds(400 + random_deadly() % 1200));
+            co_await send_deadly_request(random_deadly() % router_count);
+        }
+        --active_callers;
+    }
+
+    /// Expects that the routers keep the deadly part from the servers once five of them have crashed, now
+    /// that no fault is in the way, and that requests with the same first parts are served.
+    task<void> expect_quarantine() {
+        constexpr int crashes_before_bound = 5;
+        constexpr int max_requests_after_bound = 3;
+        constexpr auto contact_time = 3s;
+        const auto deadline = std::chrono::steady_clock::now() + recovery_timeout;
+        while (state->crashes < crashes_before_bound && std::chrono::steady_clock::now() < deadline) {
+            const unsigned status = co_await send_deadly_request(random_deadly() % router_count);
+            if (status == 503 && state->crashes > 0) {
+                break; // The routers know the part already.
+            }
+            co_await sleep_for(500ms);
+        }
+        co_await sleep_for(contact_time);
+        const int crashes = state->crashes;
+        for (std::size_t i = 0; i < 20; ++i) {
+            co_await send_deadly_request(i % router_count);
+        }
+        EXPECT_LE(state->crashes - crashes, max_requests_after_bound)
+            << "requests with the deadly part went on to reach servers after " << crashes << " crashes";
+    }
+
     task<unsigned> send_random_request() {
         switch (random_below(4)) {
         case 0:
@@ -234,13 +300,19 @@
         co_return;
     }
 
+    void remove_entry(const std::string& id) {
+        if (!store.spec("servers", id).isNull()) {
+            store.remove("servers", id);
+        }
+    }
+
     /// Drains a server, removes it, and starts another one at its address.
     task<void> replace_server(std::size_t i) {
         const std::string old_id = servers[i]->id;
         const std::string service = old_id.substr(0, old_id.find('-'));
         announce(old_id, service, server_addresses[i], "draining");
         co_await sleep_for(2500ms);
-        store.remove("servers", old_id);
+        remove_entry(old_id);
         servers[i]->id = old_id + "x";
         announce(servers[i]->id, service, server_addresses[i], "ready");
     }
@@ -283,6 +355,7 @@
         for (int i = 0; i < 8; ++i) {
             asio::co_spawn(context, run_caller(), asio::detached);
         }
+        asio::co_spawn(context, run_deadly_caller(), asio::detached);
         asio::co_spawn(context, inject_random_faults(), asio::detached);
         co_await sleep_for(fault_duration);
         stopping = true;
@@ -290,6 +363,7 @@
             co_await sleep_for(20ms);
         }
         state->failures_disabled = true;
+        co_await expect_quarantine();
         co_await expect_recovery();
     }
 
@@ -334,10 +408,11 @@
         }
         std::cout << "seed " << GetParam() << ": " << served << " of " << outcomes.size()
                   << " requests served, " << delivered_tokens << " of " << prepaid_tokens
-                  << " tokens delivered\n";
+                  << " tokens delivered, " << state->crashes << " servers crashed\n";
     }
 
     std::mt19937 random;
+    std::mt19937 random_deadly; ///< Source of the choices for requests with the deadly part.
     std::filesystem::path folder;
     std::vector<test_route> routes;
     std::uint64_t version = 1;
@@ -350,6 +425,7 @@
     std::vector<std::string> router_addresses; ///< Addresses at which the routers accept callers.
     std::vector<request_outcome> outcomes;
     tokens delivered_tokens = 0;              ///< Tokens of all complete streams.
+    std::int64_t last_started_ms = 0;         ///< Start time of the server that was started last.
     int active_callers = 0;                   ///< Number of callers that still send requests.
     int active_faults = 0;                    ///< Number of faults that are in progress.
     std::set<std::size_t> active_fault_kinds; ///< Kinds of the faults that are in progress.
@@ -358,7 +434,7 @@
 
 TEST_P(soak_test, promises_hold) {
     run_task(
-        context, [this]() -> task<void> { return run_faults_and_recover(); }, 60s);
+        context, [this]() -> task<void> { return run_faults_and_recover(); }, 90s);
     check_guarantees();
 }
 
--- a/test/stand_ins/fault_proxy.cpp
+++ b/test/stand_ins/fault_proxy.cpp
@@ -193,10 +193,14 @@
     }
 
     /// Forwards or discards the bytes that have arrived. Returns false at the end of the stream or on an
-    /// error.
+    /// error, which makes a later close of `to` a reset.
     static bool forward(int from, int to, bool discard) {
         std::array<char, 16384> buf{};
         const ssize_t n = ::recv(from, buf.data(), buf.size(), 0);
+        if (n < 0) {
+            const linger reset_on_close{1, 0};
+            ::setsockopt(to, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
+        }
         if (n <= 0) {
             return false;
         }
