Older interface: the HTTP client tells cut-off bodies from whole ones

Callers would see: the cut-off answer of a plain service, sent in chunks, as a complete one, and an answer without a length as an empty one. Cause: the cxxtools client reports the end of the connection inside a chunk as the end of the body, and reads nothing of a body without a length; it hides both from its user.

Change: http_client.cpp uses Boost.Beast, as the platform's path does. The check that connected twice for each call is gone, and a pooled connection that its peer has closed leads to one new one.

--- a/include/eelgrassgw/transport/http_client.h
+++ b/include/eelgrassgw/transport/http_client.h
@@ -61,14 +61,15 @@
 result<std::unique_ptr<http_stream>> open_http_stream(const endpoint& peer, const http_request& request,
                                                       const http_timeouts& timeouts);
 
-/// Sends `request` exactly once without retries on a new connection, and reads the whole reply. A body
-/// shorter than the reply's `content-length` gives the error `outcome_unknown`. The errors are those of
+/// Sends `request` exactly once without retries on a new connection, and reads the whole reply. A body that is
+/// cut off, however the reply frames it, gives the error `outcome_unknown`; a body with neither a length nor
+/// chunks is whole if the peer closes the connection without a reset. The errors are those of
 /// `open_http_stream`. Thread-safe.
 result<http_response> call_http(const endpoint& peer, const http_request& request,
                                 const http_timeouts& timeouts);
 
 /// Calls one peer over a pool of persistent connections. Only idempotent requests may use the pool: if the
-/// peer has closed an idle connection, the HTTP library sends the request again. Thread-safe.
+/// peer has closed an idle connection, the request is sent again on a new one. Thread-safe.
 class http_connection_pool {
 public:
     explicit http_connection_pool(endpoint peer);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,15 +2,20 @@
 
 #include "eelgrassgw/base/failpoint.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/net/addrinfo.h>
-#include <cxxtools/net/tcpsocket.h>
-
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
 #include <cstdlib>
-#include <istream>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -68,23 +73,29 @@
     return name;
 }
 
-cxxtools::http::Request to_cxxtools_request(const http_request& request) {
-    // The query is part of the URL because the library ignores qparams().
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t max_body_bytes = 64U << 20U;
+
+http::request<http::string_body> to_beast_request(const endpoint& peer, const http_request& request) {
     const std::string query = request.query.empty() ? "" : "?" + request.query;
-    cxxtools::http::Request cxxtools_request(percent_encode(request.path) + query);
-    cxxtools_request.method(request.method);
+    http::request<http::string_body> beast_request;
+    beast_request.version(11);
+    beast_request.method_string(request.method);
+    beast_request.target(percent_encode(request.path) + query);
     for (const auto& field : request.headers) {
-        cxxtools_request.setHeader(field.first.c_str(), field.second.c_str());
+        beast_request.set(field.first, field.second);
     }
+    beast_request.set(http::field::host, peer.text());
     if (!sender_name().empty()) {
-        cxxtools_request.setHeader("x-eelgrass-sender", sender_name().c_str());
+        beast_request.set("x-eelgrass-sender", sender_name());
     }
-    cxxtools_request.body() << request.body;
-    return cxxtools_request;
-}
-
-cxxtools::Milliseconds to_cxxtools_milliseconds(std::chrono::milliseconds duration) {
-    return cxxtools::Milliseconds(static_cast<double>(duration.count()));
+    beast_request.body() = request.body;
+    beast_request.prepare_payload();
+    return beast_request;
 }
 
 failure outcome_unknown_failure(const endpoint& peer, const http_request& request, const std::string& cause) {
@@ -96,76 +107,169 @@
                         cause);
 }
 
-/// Checks over a separate connection that `peer` accepts connections within `timeout`. The library's client
-/// has no timeout for connecting, and a request sent over an existing connection would be sent again if the
-/// peer closed that connection before it replied.
-result<done> check_reachable(const endpoint& peer, const http_request& request,
-                             std::chrono::milliseconds timeout) {
-    try {
-        cxxtools::net::TcpSocket probe;
-        probe.setTimeout(to_cxxtools_milliseconds(timeout));
-        probe.connect(peer.address, peer.port);
-        return done{};
-    } catch (const std::exception& e) {
-        return unreachable_failure(peer, request, e.what());
+/// One connection with an event loop of its own, so that each step can be given a time limit. Not
+/// thread-safe.
+class timed_connection {
+public:
+    error_code connect(const endpoint& peer, milliseconds timeout) {
+        error_code ec;
+        const auto address = asio::ip::make_address(peer.address, ec);
+        if (ec) {
+            return ec;
+        }
+        const asio::ip::tcp::endpoint target(address, peer.port);
+        return run(timeout, [&](auto done) { stream_.async_connect(target, done); });
+    }
+
+    error_code send(const http::request<http::string_body>& request, milliseconds timeout) {
+        return run(timeout, [&](auto done) {
+            http::async_write(stream_, request, [done](error_code ec, std::size_t) { done(ec); });
+        });
+    }
+
+    template <class Parser>
+    error_code read_head(Parser& parser, milliseconds timeout) {
+        return run(timeout, [&](auto done) {
+            http::async_read_header(stream_, buffer_, parser,
+                                    [done](error_code ec, std::size_t) { done(ec); });
+        });
+    }
+
+    /// Reads the next bytes of the body.
+    template <class Parser>
+    error_code read_some(Parser& parser, milliseconds timeout) {
+        return run(timeout, [&](auto done) {
+            http::async_read_some(stream_, buffer_, parser, [done](error_code ec, std::size_t) { done(ec); });
+        });
+    }
+
+private:
+    /// Starts an operation and waits for its end. `start` receives the function that takes its result.
+    template <class Start>
+    error_code run(milliseconds timeout, Start start) {
+        error_code result;
+        stream_.expires_after(timeout);
+        start([&result](error_code ec) { result = ec; });
+        loop_.restart();
+        loop_.run();
+        return result;
     }
-}
 
-std::string header_value(const cxxtools::http::Client& client, const std::string& name) {
-    const char* value = client.header().getHeader(name.c_str());
-    return value == nullptr ? std::string() : std::string(value);
+    asio::io_context loop_;
+    boost::beast::tcp_stream stream_{loop_};
+    boost::beast::flat_buffer buffer_;
+};
+
+std::string to_lower_case(std::string text) {
+    for (char& c : text) {
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+    return text;
 }
 
-http_response read_response(cxxtools::http::Client& client) {
+http_response to_response(http::response<http::string_body> reply) {
     http_response response;
-    response.body = client.readBody().body();
-    response.status = static_cast<int>(client.header().httpReturnCode());
-    for (const auto& field : client.header()) {
-        std::string name = field.first;
-        for (char& c : name) {
-            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-        }
-        if (!name.empty() && name.back() == ':') {
-            name.pop_back();
-        }
-        response.headers[name] = field.second;
+    response.status = static_cast<int>(reply.result_int());
+    for (const auto& field : reply) {
+        response.headers[to_lower_case(std::string(field.name_string()))] = std::string(field.value());
     }
+    response.body = std::move(reply.body());
     return response;
 }
 
-bool is_body_truncated(const http_response& response) {
-    const std::string length = response.header("content-length");
-    return !length.empty() && response.body.size() < std::strtoull(length.c_str(), nullptr, 10);
+/// A whole reply, and whether its connection can be used again.
+struct whole_reply {
+    http_response response;
+    bool keep_alive = false;
+};
+
+/// Sends `request` and reads the whole reply. Sets `closed_before_reply` if the peer closed the connection
+/// before any part of the reply arrived.
+result<whole_reply> exchange_once(timed_connection& connection, const endpoint& peer,
+                                  const http_request& request, milliseconds timeout,
+                                  bool& closed_before_reply) {
+    error_code ec = connection.send(to_beast_request(peer, request), timeout);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_body_bytes);
+    if (!ec) {
+        ec = connection.read_head(parser, timeout);
+    }
+    closed_before_reply = ec && ec != boost::beast::error::timeout && !parser.got_some();
+    while (!ec && !parser.is_done()) {
+        ec = connection.read_some(parser, timeout);
+    }
+    if (ec) {
+        return outcome_unknown_failure(peer, request, ec.message());
+    }
+    const bool keep_alive = parser.keep_alive();
+    return whole_reply{to_response(parser.release()), keep_alive};
 }
 
 class client_stream final : public http_stream {
 public:
-    client_stream(const endpoint& peer) : client_(peer.address, peer.port) {}
+    explicit client_stream(milliseconds timeout) : timeout_(timeout) { parser_.body_limit(boost::none); }
 
-    cxxtools::http::Client& client() { return client_; }
+    /// Connects, sends `request` and reads the head of the reply.
+    result<done> open(const endpoint& peer, const http_request& request, milliseconds connect_timeout) {
+        error_code ec = connection_.connect(peer, connect_timeout);
+        if (ec) {
+            return unreachable_failure(peer, request, ec.message());
+        }
+        ec = connection_.send(to_beast_request(peer, request), timeout_);
+        if (!ec) {
+            ec = connection_.read_head(parser_, timeout_);
+        }
+        if (ec) {
+            return outcome_unknown_failure(peer, request, ec.message());
+        }
+        return done{};
+    }
 
-    int status() const override { return static_cast<int>(client_.header().httpReturnCode()); }
+    int status() const override { return static_cast<int>(parser_.get().result_int()); }
 
-    std::string header(const std::string& name) const override { return header_value(client_, name); }
+    std::string header(const std::string& name) const override { return std::string(parser_.get()[name]); }
 
     bool read_line(std::string& line) override {
-        try {
-            return static_cast<bool>(std::getline(client_.in(), line)) && !client_.in().eof();
-        } catch (const std::exception&) {
+        std::size_t end = unread_.find('\n');
+        while (end == std::string::npos && read_more()) {
+            end = unread_.find('\n');
+        }
+        if (end == std::string::npos) {
             return false;
         }
+        line = unread_.substr(0, end);
+        unread_.erase(0, end + 1);
+        return true;
     }
 
     std::string read_rest() override {
-        try {
-            return client_.readBody().body();
-        } catch (const std::exception&) {
-            return {};
+        while (read_more()) {
         }
+        return std::exchange(unread_, {});
     }
 
 private:
-    cxxtools::http::Client client_;
+    static constexpr std::size_t piece_bytes = 8192;
+
+    /// Reads more of the body. Returns false at its end, or if it was cut off.
+    bool read_more() {
+        if (parser_.is_done()) {
+            return false;
+        }
+        auto& body = parser_.get().body();
+        body.data = piece_.data();
+        body.size = piece_.size();
+        body.more = true;
+        const error_code ec = connection_.read_some(parser_, timeout_);
+        unread_.append(piece_.data(), piece_.size() - body.size);
+        return !ec || ec == http::error::need_buffer;
+    }
+
+    milliseconds timeout_;
+    timed_connection connection_;
+    http::response_parser<http::buffer_body> parser_;
+    std::array<char, piece_bytes> piece_{};
+    std::string unread_; ///< Bytes of the body that were read and not returned yet.
 };
 
 } // namespace
@@ -192,38 +296,27 @@
 
 result<std::unique_ptr<http_stream>> open_stream_once(const endpoint& peer, const http_request& request,
                                                       const http_timeouts& timeouts) {
-    auto stream = std::make_unique<client_stream>(peer);
-    const result<done> connected = check_reachable(peer, request, timeouts.connect);
-    if (!connected) {
-        return connected.error();
-    }
-    try {
-        stream->client().execute(to_cxxtools_request(request), to_cxxtools_milliseconds(timeouts.read),
-                                 to_cxxtools_milliseconds(timeouts.connect));
-    } catch (const std::exception& e) {
-        return outcome_unknown_failure(peer, request, e.what());
+    auto stream = std::make_unique<client_stream>(timeouts.read);
+    const result<done> opened = stream->open(peer, request, timeouts.connect);
+    if (!opened) {
+        return opened.error();
     }
     return std::unique_ptr<http_stream>(std::move(stream));
 }
 
 result<http_response> call_once(const endpoint& peer, const http_request& request,
                                 const http_timeouts& timeouts) {
-    cxxtools::http::Client client(peer.address, peer.port);
-    const result<done> connected = check_reachable(peer, request, timeouts.connect);
-    if (!connected) {
-        return connected.error();
+    timed_connection connection;
+    const error_code ec = connection.connect(peer, timeouts.connect);
+    if (ec) {
+        return unreachable_failure(peer, request, ec.message());
     }
-    try {
-        client.execute(to_cxxtools_request(request), to_cxxtools_milliseconds(timeouts.read),
-                       to_cxxtools_milliseconds(timeouts.connect));
-        http_response response = read_response(client);
-        if (is_body_truncated(response)) {
-            return outcome_unknown_failure(peer, request, "the reply's body was cut off");
-        }
-        return response;
-    } catch (const std::exception& e) {
-        return outcome_unknown_failure(peer, request, e.what());
+    bool closed_before_reply = false;
+    result<whole_reply> reply = exchange_once(connection, peer, request, timeouts.read, closed_before_reply);
+    if (!reply) {
+        return reply.error();
     }
+    return std::move(reply.value().response);
 }
 
 } // namespace
@@ -249,51 +342,60 @@
     const endpoint& peer() const { return peer_; }
 
     result<http_response> call(const http_request& request, const http_timeouts& timeouts) {
-        std::unique_ptr<cxxtools::http::Client> client = take_idle_client();
-        if (client == nullptr) {
-            const result<done> connected = check_reachable(peer_, request, timeouts.connect);
-            if (!connected) {
-                return connected.error();
+        std::unique_ptr<timed_connection> idle = take_idle_connection();
+        if (idle != nullptr) {
+            bool closed_before_reply = false;
+            result<whole_reply> reply =
+                exchange_once(*idle, peer_, request, timeouts.read, closed_before_reply);
+            if (!closed_before_reply) {
+                return finish(std::move(idle), std::move(reply));
             }
-            client = std::make_unique<cxxtools::http::Client>(peer_.address, peer_.port);
+            // The peer may have closed the idle connection, so the idempotent request is sent again.
         }
-        try {
-            client->execute(to_cxxtools_request(request), to_cxxtools_milliseconds(timeouts.read),
-                            to_cxxtools_milliseconds(timeouts.connect));
-            http_response response = read_response(*client);
-            if (is_body_truncated(response)) {
-                return outcome_unknown_failure(peer_, request, "the reply's body was cut off");
-            }
-            return_client(std::move(client));
-            return response;
-        } catch (const std::exception& e) {
-            return outcome_unknown_failure(peer_, request, e.what());
+        auto connection = std::make_unique<timed_connection>();
+        const error_code ec = connection->connect(peer_, timeouts.connect);
+        if (ec) {
+            return unreachable_failure(peer_, request, ec.message());
         }
+        bool closed_before_reply = false;
+        result<whole_reply> reply =
+            exchange_once(*connection, peer_, request, timeouts.read, closed_before_reply);
+        return finish(std::move(connection), std::move(reply));
     }
 
 private:
     static constexpr std::size_t max_idle_connections = 16;
 
-    std::unique_ptr<cxxtools::http::Client> take_idle_client() {
+    result<http_response> finish(std::unique_ptr<timed_connection> connection, result<whole_reply> reply) {
+        if (!reply) {
+            return reply.error();
+        }
+        if (reply.value().keep_alive) {
+            return_connection(std::move(connection));
+        }
+        return std::move(reply.value().response);
+    }
+
+    std::unique_ptr<timed_connection> take_idle_connection() {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (idle_clients_.empty()) {
+        if (idle_connections_.empty()) {
             return nullptr;
         }
-        auto client = std::move(idle_clients_.back());
-        idle_clients_.pop_back();
-        return client;
+        auto connection = std::move(idle_connections_.back());
+        idle_connections_.pop_back();
+        return connection;
     }
 
-    void return_client(std::unique_ptr<cxxtools::http::Client> client) {
+    void return_connection(std::unique_ptr<timed_connection> connection) {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (idle_clients_.size() < max_idle_connections) {
-            idle_clients_.push_back(std::move(client));
+        if (idle_connections_.size() < max_idle_connections) {
+            idle_connections_.push_back(std::move(connection));
         }
     }
 
     endpoint peer_;
     std::mutex mutex_;
-    std::vector<std::unique_ptr<cxxtools::http::Client>> idle_clients_;
+    std::vector<std::unique_ptr<timed_connection>> idle_connections_;
 };
 
 http_connection_pool::http_connection_pool(endpoint peer) : impl_(std::make_unique<impl>(std::move(peer))) {}
