Notices of crashes do not wait for the store

Found on reading: one task sent notices and wrote to the store in turn, so while the store gave no answer a notice could be late by a call's timeout and backoff, up to 6 s, which is over the 3 s within which all routers must know a deadly part.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -182,7 +182,8 @@
                                                               backend_callbacks()));
     spawn(object_follower<typename Platform::objects>::follow(
         objects_, Platform::quarantine_kind, quarantine_sync_.follow_with(common_callbacks())));
-    spawn(quarantine_sync_.run());
+    spawn(quarantine_sync_.send_notices());
+    spawn(quarantine_sync_.update_store());
     spawn(budgets_.run());
     spawn(flush_log());
     spawn(run_maintenance());
--- a/src/quarantine/quarantine_sync.h
+++ b/src/quarantine/quarantine_sync.h
@@ -43,11 +43,20 @@
                              [this](const Json::Value& notice) { return handle_notice(notice); });
     }
 
-    /// Shares new evidence until the process ends.
-    task<void> run() {
+    /// Sends new evidence to the other routers until the process ends. It never waits for the store.
+    task<void> send_notices() {
         for (;;) {
-            co_await sleep_for(round_interval + milliseconds(random_below(round_interval.count())));
-            send_notices();
+            co_await sleep_for(draw_round_time());
+            for (const auto& [part, evidence] : quarantine_.take_notices(clock_reading::now())) {
+                send_notice({{part, evidence}});
+            }
+        }
+    }
+
+    /// Writes new evidence to the store until the process ends.
+    task<void> update_store() {
+        for (;;) {
+            co_await sleep_for(draw_round_time());
             const auto update = quarantine_.plan_store_update(stored_, clock_reading::now());
             if (update && !co_await write(*update)) {
                 co_await sleep_for(backoff_.next_delay());
@@ -72,13 +81,15 @@
     }
 
 private:
-    void send_notices() {
-        for (const auto& [part, evidence] : quarantine_.take_notices(clock_reading::now())) {
-            Json::Value notice;
-            notice["kind"] = notice_kind;
-            notice["parts"] = to_json(evidence_by_part{{part, evidence}});
-            channel_.send(notice);
-        }
+    static milliseconds draw_round_time() {
+        return round_interval + milliseconds(random_below(round_interval.count()));
+    }
+
+    void send_notice(const evidence_by_part& evidence) {
+        Json::Value notice;
+        notice["kind"] = notice_kind;
+        notice["parts"] = to_json(evidence);
+        channel_.send(notice);
     }
 
     result<done> handle_notice(const Json::Value& notice) {
