Failing test: a resumed stream that its second server closes before an event looks complete

Cause, found by reading: exchange::is_stream_whole counts the events of all attempts, so the rule that an unframed stream without any event was broken off does not hold for the attempt that resumes a stream. Change: a test of a resumable route: the first server breaks off after two events, the second one closes an unframed answer after its head. Conclusion: the gap is real: the caller gets its last chunk although the stream is not whole (ORDER on resumable routes).

--- a/test/gateway/broken_off_stream_test.cpp
+++ b/test/gateway/broken_off_stream_test.cpp
@@ -146,6 +146,26 @@
     run([&]() -> task<void> { EXPECT_FALSE((co_await call(stream_request("/once/"))).has_value()); });
 }
 
+TEST_F(unframed_stream_test, resumed_stream_that_is_closed_before_its_first_event_does_not_look_complete) {
+    int run_count = 0;
+    const auto first = breaking_off(server_framing::chunked, server_end::close);
+    const auto script = [&](backend_exchange& e) -> task<void> {
+        if (run_count++ == 0) {
+            co_await first(e);
+            co_return;
+        }
+        co_await write_head(e, server_framing::connection_end, 0);
+        co_await sleep_for(30ms);
+        e.break_off(false);
+    };
+    add_backend("s1", "models", script);
+    add_backend("s2", "models", script);
+    run([&]() -> task<void> {
+        EXPECT_FALSE((co_await call(stream_request("/resumable/"))).has_value());
+        EXPECT_EQ(2, run_count);
+    });
+}
+
 class stream_framing_test : public broken_off_stream_fixture,
                             public ::testing::WithParamInterface<server_framing> {};
 
