Failing tests: a stopping router loses a request that has just arrived, and sends late ones to servers

The same test failed in 4 of 40 runs on an otherwise idle machine (4 at a time) and in 1 of 120 runs 24 at a time, each time for one to three requests that were sent 2.6 s after the stop began: they reached a server, and their callers got no answer. So it is neither load nor luck. At that moment the router closes idle connections. caller_session counts a connection as idle until its task resumes, so one whose first bytes have been read in the same turn of the event loop is shut down for sending, and its request is then sent to a server all the same. Reading on: requests are refused only from 3 s on, and only while others run. One that is read to its end after the last answer goes to a server although the process is about to end. Change: one test of each that does not count on luck: the first blocks the thread, so that the bytes and the timer come in the same turn; the second sends the last bytes of a request after the stop. Result: both fail in each run on this code.

--- a/test/gateway/raw_caller.h
+++ b/test/gateway/raw_caller.h
@@ -33,6 +33,14 @@
         co_await asio::async_write(socket_, asio::buffer(bytes), with_error(ec));
     }
 
+    /// Connects to `address` (IP:port) and sends the bytes unchanged. It blocks the calling thread, so that
+    /// no task of the context runs until the bytes are sent.
+    void connect_and_send_blocking(const std::string& address, const std::string& bytes) {
+        net_error ignored; // The caller notices a failure by the missing answer.
+        socket_.connect(parse_address(address).value(), ignored);
+        asio::write(socket_, asio::buffer(bytes), ignored);
+    }
+
     /// Reads the next answer. Returns nothing if the connection ended or `limit` passed before it was
     /// complete.
     task<std::optional<text_reply>> read_answer(std::chrono::milliseconds limit = std::chrono::seconds(5)) {
--- a/test/gateway/stop_test.cpp
+++ b/test/gateway/stop_test.cpp
@@ -3,6 +3,7 @@
 #include "gateway_fixture.h"
 
 #include <set>
+#include <thread>
 
 namespace eelgrassgw {
 namespace {
@@ -81,6 +82,48 @@
     });
 }
 
+/// The router finds the request's bytes and the time to close idle connections in the same turn of its event
+/// loop, because the test blocks its thread in between.
+TEST_F(stop_test, request_that_arrives_as_idle_connections_are_closed_is_answered) {
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await sleep_for(400ms);
+        co_await e.answer(200, "ok");
+    });
+    run([&]() -> task<void> {
+        const auto closing_time = std::chrono::steady_clock::now() + gateway_type::deregistration_delay;
+        asio::co_spawn(context, router->stop(), asio::detached);
+        co_await sleep_for(gateway_type::deregistration_delay - 200ms);
+        raw_caller earlier_caller(context);
+        co_await earlier_caller.connect(settings.listen);
+        co_await earlier_caller.send(request("GET", "/read/"));
+        co_await sleep_for(100ms);
+        raw_caller caller(context);
+        caller.connect_and_send_blocking(settings.listen, request("GET", "/read/"));
+        std::this_thread::sleep_until(closing_time + 50ms);
+        const auto answer = co_await caller.read_answer(2s);
+        EXPECT_EQ("ok", answer ? answer->body() : "no answer");
+    });
+}
+
+TEST_F(stop_test, request_that_is_read_after_the_last_answer_reaches_no_server) {
+    const auto& server = add_backend("s1", "plain", answering("ok"));
+    run([&]() -> task<void> {
+        raw_caller caller(context);
+        const std::string bytes = request("GET", "/read/", "", "body");
+        const auto send_head = [&]() -> task<void> {
+            co_await sleep_for(gateway_type::deregistration_delay - 600ms);
+            co_await caller.connect(settings.listen);
+            co_await caller.send(bytes.substr(0, bytes.size() - 4));
+        };
+        asio::co_spawn(context, send_head, asio::detached);
+        co_await router->stop();
+        co_await caller.send("body");
+        const auto answer = co_await caller.read_answer();
+        EXPECT_EQ(503U, answer ? answer->result_int() : 0);
+        EXPECT_EQ(0U, server.arrived().size());
+    });
+}
+
 TEST_F(stop_test, idle_connections_are_closed) {
     add_backend("s1", "plain", answering("ok"));
     run([&]() -> task<void> {
