A resumed stream counts as begun only by its own events

Callers saw, or could see, the end of a stream as complete although the second server closed an answer without length or chunks before its first event. Cause: is_stream_whole asked whether the request had had any event at all; the events of the server that broke off before counted too. Change: event_splitter counts what is new since its restart, and the rule asks for that. An unframed answer that only repeats events counts as broken off as well: nobody can tell that it is whole.

--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -227,10 +227,11 @@
 }
 
 /// Returns whether a stream whose body has ended is whole. If only the end of the connection marks the end of
-/// the body, a stream without any event is taken for one that was broken off.
+/// the body, an answer without any new event is taken for one that was broken off.
 template <class Core>
 bool exchange<Core>::is_stream_whole(const backend_reply& reply) const {
-    const bool has_begun = splitter_.event_count() > 0 || reply.framing() != body_framing::connection_end;
+    const bool has_begun =
+        splitter_.has_events_since_restart() || reply.framing() != body_framing::connection_end;
     return has_begun && !splitter_.is_inside_event();
 }
 
--- a/src/streams/event_splitter.cpp
+++ b/src/streams/event_splitter.cpp
@@ -75,6 +75,7 @@
 
 void event_splitter::restart() {
     incomplete_event_.clear();
+    event_count_at_restart_ = event_count_;
     is_restarted_ = true;
 }
 
--- a/src/streams/event_splitter.h
+++ b/src/streams/event_splitter.h
@@ -36,12 +36,16 @@
     /// Returns the number of events returned so far.
     std::int64_t event_count() const { return event_count_; }
 
+    /// Returns whether an event has been returned since the last `restart`, or at all if there was none.
+    bool has_events_since_restart() const { return event_count_ > event_count_at_restart_; }
+
 private:
     bool is_duplicate(const std::string& id) const;
 
     std::string incomplete_event_; ///< Bytes after the last complete event.
     std::string last_id_;
     std::int64_t event_count_ = 0;
+    std::int64_t event_count_at_restart_ = 0;
     bool is_restarted_ = false;
 };
 
--- a/test/gateway/event_splitter_test.cpp
+++ b/test/gateway/event_splitter_test.cpp
@@ -44,6 +44,18 @@
     EXPECT_EQ(3, events.event_count());
 }
 
+TEST(event_splitter, only_new_events_count_as_events_since_the_restart) {
+    event_splitter events;
+    EXPECT_FALSE(events.has_events_since_restart());
+    events.append("id: 1\ndata: a\n\n");
+    EXPECT_TRUE(events.has_events_since_restart());
+    events.restart();
+    events.append("id: 1\ndata: a\n\n");
+    EXPECT_FALSE(events.has_events_since_restart());
+    events.append("id: 2\ndata: b\n\n");
+    EXPECT_TRUE(events.has_events_since_restart());
+}
+
 TEST(event_splitter, stream_without_the_empty_line_of_its_last_event_ends_inside_an_event) {
     for (const std::string end : {"id: 2", "id: 2\ndata: b", "id: 2\ndata: b\n", "id: 2\r\ndata: b\r\n\r"}) {
         event_splitter events;
