A stopping router answers a request whose bytes arrive as it closes idle connections

Callers on connections that a stopping router closed for idleness got no answer to a request that a server had run. Cause: close_if_idle shut the connection down for sending although its read had completed and only the session's task had not gone on yet; the request was then read and sent to a server, and the answer could not be written. Change: close_if_idle ends the wait only; the session closes the connection itself, unless bytes of a request are there. The same holds for a connection that is accepted while the router closes its connections. Ruled out: load (the failure came in 4 of 40 runs on an idle machine, in 1 of 120 runs 24 at a time). Bytes that are still on their way when the connection closes are not answered, as with any closing connection.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -51,11 +51,11 @@
     /// Serves requests until the connection ends.
     task<void> run();
 
-    /// Closes the connection unless a request is being read or served.
+    /// Ends the wait for the next request, if there is one. The session's own task then closes the
+    /// connection, unless bytes of a request have arrived in the meantime.
     void close_if_idle() {
         if (idle_) {
             net_error ignored;
-            caller_.shutdown(tcp::socket::shutdown_send, ignored);
             caller_.cancel(ignored);
         }
     }
@@ -86,6 +86,10 @@
         return core_.configuration == nullptr ? caller_limits{} : core_.configuration->limits();
     }
     task<bool> wait_for_bytes();
+    bool has_unread_bytes() const {
+        net_error ignored; // There is nothing to read from a closed socket.
+        return caller_.available(ignored) > 0;
+    }
     task<bool> read_request(body_parser& parser);
     task<void> refuse_unread_request(refusal rejection);
     task<bool> serve(const text_request& request, clock::time_point started);
@@ -120,14 +124,15 @@
     caller_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-/// Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long.
+/// Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long, or
+/// if the router closes its idle connections.
 template <class Core>
 task<bool> caller_session<Core>::wait_for_bytes() {
     if (buffer_.size() > 0) {
         co_return true;
     }
     if (core_.closing_connections) {
-        co_return false;
+        co_return has_unread_bytes();
     }
     constexpr std::size_t first_read_bytes = 4096;
     idle_ = true;
@@ -139,7 +144,7 @@
         buffer_.commit(n);
     }
     idle_ = false;
-    co_return !ec;
+    co_return !ec || has_unread_bytes();
 }
 
 /// Reads one whole request. If the request exceeds a limit or cannot be parsed, sends a refusal and returns
