A stopping router sends no request to a server after its last answer

A request that was read to its end after the last request in progress had been answered went to a server, although the process was about to end and would cut its answer. Cause: requests were refused only from 3 s after the stop began, and only while others were in progress. Change: the refusal holds from the end of the drain on; such a request gets 503, which says that it has not run.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -345,6 +345,7 @@
         close_idle_sessions();
         co_await sleep_for(milliseconds(20));
     }
+    core_.refusing_requests = true;
     net_error ignored;
     acceptor_->close(ignored);
     const bool allowances_returned = co_await budgets_.return_allowances();
