Soak: callers keep their connections open, servers close unframed streams before an event, fleets of any size

Cause: each request of the soak came on a new connection, so no connection was open when a router stopped; servers broke streams off inside an event only, never right after the head; and the fleet had a fixed size. Change: caller_connection keeps a connection until the router or its process ends it. A server may close a stream before its first event. EELGRASSGW_SOAK_ROUTERS and EELGRASSGW_SOAK_HOSTS set the size; callers, faults and the budget grow with it.

--- a/test/soak/soak_backend.cpp
+++ b/test/soak/soak_backend.cpp
@@ -65,11 +65,13 @@
         exchange.break_off(true);
         co_return;
     }
-    for (int number = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1; number <= events_per_stream;
-         ++number) {
+    const int first_number = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1;
+    for (int number = first_number; number <= events_per_stream; ++number) {
         const std::string event = make_stream_event(attempt_id, number);
-        if (state_->draw_failure(1)) {
-            co_await write_stream_piece(exchange, unframed, event.substr(0, event.size() / 2));
+        if (state_->draw_failure(number == first_number ? 4 : 1)) {
+            if (number > first_number || state_->draw_failure(50)) {
+                co_await write_stream_piece(exchange, unframed, event.substr(0, event.size() / 2));
+            }
             exchange.break_off(!unframed);
             co_return;
         }
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -1,7 +1,9 @@
 /// Runs routers and relays as real processes, injects random faults from outside, and checks the gateway's
 /// guarantees by what callers and backend servers see. The environment variable EELGRASSGW_SOAK_SEED sets the
-/// first seed, and EELGRASSGW_SOAK_SEEDS sets the number of seeds.
+/// first seed, EELGRASSGW_SOAK_SEEDS the number of seeds, EELGRASSGW_SOAK_ROUTERS the number of routers, and
+/// EELGRASSGW_SOAK_HOSTS the number of hosts, each of which runs a relay and two backend servers.
 
+#include "caller_connection.h"
 #include "fault_link.h"
 #include "gateway/gateway_fixture.h"
 #include "gateway/started_program.h"
@@ -21,10 +23,10 @@
 
 constexpr auto fault_duration = 9s;
 constexpr auto recovery_timeout = 12s;
-constexpr int router_count = 2;
-/// Every host runs a model server, a server for plain requests and a relay.
-constexpr int host_count = 3;
-constexpr tokens initial_prepaid_tokens = 100000;
+constexpr int callers_per_router = 4;
+/// Number of processes for each fault that is in progress at the same time, on average.
+constexpr int processes_per_fault = 5;
+constexpr tokens initial_prepaid_tokens_per_router = 50000;
 constexpr tokens prompt_tokens = 1000;
 constexpr tokens tokens_per_event = 6;
 
@@ -79,14 +81,15 @@
     }
 
     static std::string make_host_address(int host, std::uint16_t port) {
+        constexpr int first_host_octet = 220;
         const int pid = getpid();
-        return "127." + std::to_string(220 + host) + "." + std::to_string(pid / 250 % 250) + "." +
-               std::to_string(1 + pid % 250) + ":" + std::to_string(port);
+        return "127." + std::to_string(first_host_octet + host) + "." + std::to_string(pid / 250 % 250) +
+               "." + std::to_string(1 + pid % 250) + ":" + std::to_string(port);
     }
 
     void start_fleet() {
         constexpr std::uint16_t relay_port = 30000;
-        for (int host = 0; host < host_count; ++host) {
+        for (int host = 0; host < int(host_count); ++host) {
             for (const std::string service : {"models", "plain"}) {
                 start_backend(host, service);
             }
@@ -95,7 +98,7 @@
             document["listen"] = make_host_address(host, relay_port);
             add_process("eelgrass-platform-relay", std::move(document));
         }
-        for (int i = 0; i < router_count; ++i) {
+        for (std::size_t i = 0; i < router_count; ++i) {
             Json::Value document;
             document["name"] = "router-" + std::to_string(i);
             document["data_centre"] = "dc";
@@ -151,8 +154,9 @@
 
     unsigned random_below(unsigned bound) { return unsigned(random() % bound); }
 
-    /// Sends one request to a random router, checks the answer and returns its status.
-    task<unsigned> send_checked_request(std::string target, bool may_run_again, bool is_stream) {
+    /// Sends one request, checks the answer and returns its status.
+    task<unsigned> send_checked_request(caller_connection& connection, std::string target, bool may_run_again,
+                                        bool is_stream) {
         const std::string headers = is_stream ? "Model: m\r\nToken-Counts: " + std::to_string(prompt_tokens) +
                                                     ",120\r\nPrompt-Prefix: a" +
                                                     std::to_string(random_below(4)) + ":600,b:400\r\n"
@@ -160,10 +164,7 @@
         const std::string bytes = request(is_stream || !may_run_again ? "POST" : "GET", target, headers);
         const std::string id =
             bytes.substr(bytes.find("id-"), bytes.find("\r\nDeadline") - bytes.find("id-"));
-        raw_caller caller(context);
-        co_await caller.connect(router_addresses[random_below(router_count)]);
-        co_await caller.send(bytes);
-        const auto answer = co_await caller.read_answer(6s);
+        const auto answer = co_await connection.call(bytes);
         const unsigned status = answer ? answer->result_int() : 0;
         if (status == 200 && is_stream) {
             EXPECT_EQ(make_whole_stream(id), answer->body()) << id;
@@ -230,23 +231,25 @@
             << "requests with the deadly part went on to reach servers after " << crashes << " crashes";
     }
 
-    task<unsigned> send_random_request() {
+    task<unsigned> send_random_request(caller_connection& connection) {
+        const std::string number = std::to_string(random_below(100));
         switch (random_below(4)) {
         case 0:
-            return send_checked_request("/book/" + std::to_string(random_below(100)), false, false);
+            return send_checked_request(connection, "/book/" + number, false, false);
         case 1:
-            return send_checked_request("/read/" + std::to_string(random_below(100)), true, false);
+            return send_checked_request(connection, "/read/" + number, true, false);
         case 2:
-            return send_checked_request("/ask/" + std::to_string(random_below(100)), true, true);
+            return send_checked_request(connection, "/ask/" + number, true, true);
         default:
-            return send_checked_request("/draft/" + std::to_string(random_below(100)), false, true);
+            return send_checked_request(connection, "/draft/" + number, false, true);
         }
     }
 
     task<void> run_caller() {
         ++active_callers;
+        caller_connection connection(context, router_addresses, random);
         while (!stopping) {
-            co_await send_random_request();
+            co_await send_random_request(connection);
             co_await sleep_for(milliseconds(random_below(60)));
         }
         --active_callers;
@@ -340,19 +343,21 @@
     task<void> inject_random_faults() {
         constexpr std::size_t others = 4;
         const std::size_t kinds = 2 * processes.size() + servers.size() + others;
+        const double fault_rate = std::max(1.0, double(processes.size()) / processes_per_fault);
         while (!stopping) {
             const std::size_t kind = random_below(unsigned(kinds));
             if (active_fault_kinds.insert(kind).second) {
                 asio::co_spawn(context, inject_fault(kind), asio::detached);
             }
-            co_await sleep_for(milliseconds(150 + random_below(600)));
+            const double pause_ms = (150 + random_below(600)) / fault_rate;
+            co_await sleep_for(milliseconds(int(pause_ms)));
         }
     }
 
     /// Injects faults under load, waits for all of them to end, and expects the fleet to recover.
     task<void> run_faults_and_recover() {
         co_await sleep_for(1500ms);
-        for (int i = 0; i < 8; ++i) {
+        for (std::size_t i = 0; i < callers_per_router * router_count; ++i) {
             asio::co_spawn(context, run_caller(), asio::detached);
         }
         asio::co_spawn(context, run_deadly_caller(), asio::detached);
@@ -372,8 +377,9 @@
         const auto deadline = std::chrono::steady_clock::now() + recovery_timeout;
         int consecutive_successes = 0;
         while (consecutive_successes < required_successes && std::chrono::steady_clock::now() < deadline) {
-            const unsigned read = co_await send_checked_request("/read/1", true, false);
-            const unsigned asked = co_await send_checked_request("/ask/1", true, true);
+            caller_connection connection(context, router_addresses, random);
+            const unsigned read = co_await send_checked_request(connection, "/read/1", true, false);
+            const unsigned asked = co_await send_checked_request(connection, "/ask/1", true, true);
             consecutive_successes =
                 read == 200 && (asked == 200 || asked == 402) ? consecutive_successes + 1 : 0;
             co_await sleep_for(50ms);
@@ -411,12 +417,14 @@
                   << " tokens delivered, " << state->crashes << " servers crashed\n";
     }
 
+    const std::size_t router_count = read_number_from_environment("EELGRASSGW_SOAK_ROUTERS", 2);
+    const std::size_t host_count = read_number_from_environment("EELGRASSGW_SOAK_HOSTS", 3);
     std::mt19937 random;
     std::mt19937 random_deadly; ///< Source of the choices for requests with the deadly part.
     std::filesystem::path folder;
     std::vector<test_route> routes;
     std::uint64_t version = 1;
-    tokens prepaid_tokens = initial_prepaid_tokens;
+    tokens prepaid_tokens = initial_prepaid_tokens_per_router * tokens(router_count);
     std::shared_ptr<soak_state> state = std::make_shared<soak_state>();
     std::vector<std::unique_ptr<soak_backend>> servers;
     std::vector<std::unique_ptr<fault_link>> server_links;
