--- a/test/gateway/broken_off_stream_test.cpp
+++ b/test/gateway/broken_off_stream_test.cpp
@@ -1,6 +1,7 @@
 /// Tests that a stream which a backend server breaks off never looks complete to its caller, however the
 /// server frames its answer and ends its connection.
 
+#include "event_stream.h"
 #include "gateway_fixture.h"
 
 #include <array>
@@ -11,20 +12,11 @@
 
 using namespace std::chrono_literals;
 
-const std::string prompt_headers = "Model: m\r\nToken-Counts: 1000,60\r\nPrompt-Prefix: aa:500,bb:500\r\n";
 constexpr std::size_t announced_length = 500;
 
 enum class server_framing { length, chunked, connection_end };
 enum class server_end { end_of_body, close, reset, silence };
 
-std::string event(int id) {
-    return "id: " + std::to_string(id) + "\ndata: " + std::string(10, char('a' + id)) + "\n\n";
-}
-
-std::string half_event(int id) {
-    return event(id).substr(0, 9);
-}
-
 task<void> write_head(backend_exchange& e, server_framing framing, std::size_t length) {
     const std::string head = e.genuine_head(200) + "Content-Type: text/event-stream\r\n";
     switch (framing) {
@@ -51,7 +43,7 @@
 /// Returns a script that streams two and a half events and then ends its answer in this way.
 scripted_backend::script_type breaking_off(server_framing framing, server_end end) {
     return [framing, end](backend_exchange& e) -> task<void> {
-        const std::string bytes = event(1) + event(2) + half_event(3);
+        const std::string bytes = events(1, 2) + half_event(3);
         co_await write_head(e, framing, end == server_end::end_of_body ? bytes.size() : announced_length);
         co_await write_body(e, framing, bytes);
         co_await sleep_for(30ms);
@@ -65,14 +57,19 @@
     };
 }
 
+/// Returns a script that closes an unframed answer after its head.
+scripted_backend::script_type closing_before_the_first_event() {
+    return [](backend_exchange& e) -> task<void> {
+        co_await write_head(e, server_framing::connection_end, 0);
+        co_await sleep_for(30ms);
+        e.break_off(false);
+    };
+}
+
 /// Returns a script that streams the events from the one after the request's Last-Event-Id up to `last_id`.
 scripted_backend::script_type completing(server_framing framing, int last_id) {
     return [framing, last_id](backend_exchange& e) -> task<void> {
-        const std::string after = e.header("Last-Event-Id");
-        std::string bytes;
-        for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= last_id; ++id) {
-            bytes += event(id);
-        }
+        const std::string bytes = events(next_event_id(e.header("Last-Event-Id")), last_id);
         co_await write_head(e, framing, bytes.size());
         co_await write_body(e, framing, bytes);
         if (framing == server_framing::chunked) {
@@ -138,31 +135,18 @@
 using unframed_stream_test = broken_off_stream_fixture;
 
 TEST_F(unframed_stream_test, stream_that_is_closed_before_its_first_event_does_not_look_complete) {
-    add_backend("s1", "models", [](backend_exchange& e) -> task<void> {
-        co_await write_head(e, server_framing::connection_end, 0);
-        co_await sleep_for(30ms);
-        e.break_off(false);
-    });
+    add_backend("s1", "models", closing_before_the_first_event());
     run([&]() -> task<void> { EXPECT_FALSE((co_await call(stream_request("/once/"))).has_value()); });
 }
 
 TEST_F(unframed_stream_test, resumed_stream_that_is_closed_before_its_first_event_does_not_look_complete) {
-    int run_count = 0;
-    const auto first = breaking_off(server_framing::chunked, server_end::close);
-    const auto script = [&](backend_exchange& e) -> task<void> {
-        if (run_count++ == 0) {
-            co_await first(e);
-            co_return;
-        }
-        co_await write_head(e, server_framing::connection_end, 0);
-        co_await sleep_for(30ms);
-        e.break_off(false);
-    };
+    const script_sequence script(
+        {breaking_off(server_framing::chunked, server_end::close), closing_before_the_first_event()});
     add_backend("s1", "models", script);
     add_backend("s2", "models", script);
     run([&]() -> task<void> {
         EXPECT_FALSE((co_await call(stream_request("/resumable/"))).has_value());
-        EXPECT_EQ(2, run_count);
+        EXPECT_EQ(2U, script.run_count());
     });
 }
 
@@ -173,25 +157,18 @@
     add_backend("s1", "models", completing(GetParam(), 5));
     run([&]() -> task<void> {
         const auto answer = co_await call(stream_request("/once/"));
-        EXPECT_EQ(event(1) + event(2) + event(3) + event(4) + event(5),
-                  answer ? answer->body() : "no whole answer");
+        EXPECT_EQ(events(1, 5), answer ? answer->body() : "no whole answer");
     });
 }
 
 TEST_P(stream_framing_test, resumable_stream_that_ends_inside_an_event_continues_at_another_server) {
-    int run_count = 0;
-    const auto first = breaking_off(GetParam(), server_end::close);
-    const auto second = completing(GetParam(), 4);
-    const auto script = [&](backend_exchange& e) -> task<void> {
-        const auto& chosen_script = run_count++ == 0 ? first : second;
-        co_await chosen_script(e);
-    };
+    const script_sequence script({breaking_off(GetParam(), server_end::close), completing(GetParam(), 4)});
     add_backend("s1", "models", script);
     add_backend("s2", "models", script);
     run([&]() -> task<void> {
         const auto answer = co_await call(stream_request("/resumable/"));
-        EXPECT_EQ(event(1) + event(2) + event(3) + event(4), answer ? answer->body() : "no whole answer");
-        EXPECT_EQ(2, run_count);
+        EXPECT_EQ(events(1, 4), answer ? answer->body() : "no whole answer");
+        EXPECT_EQ(2U, script.run_count());
     });
 }
 
@@ -209,7 +186,7 @@
         co_await caller.connect(settings.listen);
         co_await caller.send(http_1_0_request("/once/"));
         const auto answer = co_await caller.read_answer();
-        EXPECT_EQ(event(1) + event(2), answer ? answer->body() : "no whole answer");
+        EXPECT_EQ(events(1, 2), answer ? answer->body() : "no whole answer");
         EXPECT_TRUE(answer && !answer->chunked());
     });
 }
--- a/test/gateway/scripted_backend.h
+++ b/test/gateway/scripted_backend.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -167,4 +168,33 @@
     std::shared_ptr<int> connections_ = std::make_shared<int>(0);
 };
 
+/// Runs the first of its scripts for the first request, the second one for the second request, and so on. The
+/// last one serves all further requests. Copies count together, so that several servers can take turns. Not
+/// thread-safe.
+class script_sequence {
+public:
+    /// Precondition: `scripts` is not empty.
+    explicit script_sequence(std::vector<scripted_backend::script_type> scripts)
+        : state_(std::make_shared<state>()) {
+        state_->scripts = std::move(scripts);
+    }
+
+    task<void> operator()(backend_exchange& e) const {
+        const auto shared = state_;
+        const std::size_t n = std::min(shared->run_count++, shared->scripts.size() - 1);
+        co_await shared->scripts[n](e);
+    }
+
+    /// Returns the number of requests so far.
+    std::size_t run_count() const { return state_->run_count; }
+
+private:
+    struct state {
+        std::vector<scripted_backend::script_type> scripts;
+        std::size_t run_count = 0;
+    };
+
+    std::shared_ptr<state> state_;
+};
+
 } // namespace eelgrassgw
--- a/test/gateway/streams_test.cpp
+++ b/test/gateway/streams_test.cpp
@@ -1,6 +1,7 @@
 /// Tests that a stream delivers each event once and in order, or ends in a way that the caller sees as
 /// incomplete.
 
+#include "event_stream.h"
 #include "gateway_fixture.h"
 
 namespace eelgrassgw {
@@ -8,27 +9,12 @@
 
 using namespace std::chrono_literals;
 
-const std::string prompt_headers = "Model: m\r\nToken-Counts: 1000,60\r\nPrompt-Prefix: aa:500,bb:500\r\n";
-
-std::string event(int id) {
-    return "id: " + std::to_string(id) + "\ndata: " + std::string(10, char('a' + id)) + "\n\n";
-}
-
-std::string events(int first_id, int last_id) {
-    std::string text;
-    for (int id = first_id; id <= last_id; ++id) {
-        text += event(id);
-    }
-    return text;
-}
-
 /// Returns a script that streams events up to `last_id`, beginning after the id in the request's
 /// Last-Event-Id header.
 scripted_backend::script_type streaming(int last_id) {
     return [last_id](backend_exchange& e) -> task<void> {
-        const std::string after = e.header("Last-Event-Id");
         co_await e.start_stream();
-        for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= last_id; ++id) {
+        for (int id = next_event_id(e.header("Last-Event-Id")); id <= last_id; ++id) {
             co_await e.piece(event(id));
         }
         co_await e.end();
@@ -39,7 +25,7 @@
 scripted_backend::script_type interrupting() {
     return [](backend_exchange& e) -> task<void> {
         co_await e.start_stream();
-        co_await e.piece(event(1) + event(2) + event(3).substr(0, 9));
+        co_await e.piece(events(1, 2) + half_event(3));
         co_await sleep_for(50ms);
         e.break_off(true);
     };
@@ -92,35 +78,24 @@
 }
 
 TEST_F(streams_test, resumable_stream_continues_at_another_server_within_one_answer) {
-    int run_count = 0;
-    const auto interrupted_script = interrupting();
-    const auto complete_script = streaming(5);
-    const auto script = [&](backend_exchange& e) -> task<void> {
-        const auto& chosen_script = run_count++ == 0 ? interrupted_script : complete_script;
-        co_await chosen_script(e);
-    };
+    const script_sequence script({interrupting(), streaming(5)});
     add_backend("s1", "models", script);
     add_backend("s2", "models", script);
     run([&]() -> task<void> {
         const auto answer = co_await call(stream_request("/resumable/"));
         EXPECT_TRUE(answer.has_value());
         EXPECT_EQ(events(1, 5), answer ? answer->body() : "");
-        EXPECT_EQ(2, run_count);
+        EXPECT_EQ(2U, script.run_count());
     });
 }
 
 TEST_F(streams_test, resumable_stream_interrupted_before_its_first_event_is_restarted) {
-    int run_count = 0;
-    const auto complete_script = streaming(5);
-    const auto script = [&](backend_exchange& e) -> task<void> {
-        if (run_count++ == 0) {
-            co_await e.start_stream();
-            co_await sleep_for(50ms);
-            e.break_off(true);
-            co_return;
-        }
-        co_await complete_script(e);
+    const auto interrupting_early = [](backend_exchange& e) -> task<void> {
+        co_await e.start_stream();
+        co_await sleep_for(50ms);
+        e.break_off(true);
     };
+    const script_sequence script({interrupting_early, streaming(5)});
     add_backend("s1", "models", script);
     add_backend("s2", "models", script);
     run([&]() -> task<void> {
@@ -130,34 +105,20 @@
 }
 
 TEST_F(streams_test, stream_whose_next_server_declines_does_not_look_complete) {
-    int run_count = 0;
-    const auto interrupted_script = interrupting();
-    const auto declining_script = declining();
-    const auto script = [&](backend_exchange& e) -> task<void> {
-        const auto& chosen_script = run_count++ == 0 ? interrupted_script : declining_script;
-        co_await chosen_script(e);
-    };
+    const script_sequence script({interrupting(), declining()});
     add_backend("s1", "models", script);
     add_backend("s2", "models", script);
     run([&]() -> task<void> {
         EXPECT_FALSE((co_await call(stream_request("/resumable/"))).has_value());
-        EXPECT_EQ(2, run_count);
+        EXPECT_EQ(2U, script.run_count());
     });
 }
 
 TEST_F(streams_test, stream_continues_after_another_server_answered_at_the_address) {
-    int run_count = 0;
-    const auto interrupted_script = interrupting();
-    const auto complete_script = streaming(5);
-    const auto script = [&](backend_exchange& e) -> task<void> {
-        const int n = run_count++;
-        if (n == 1) {
-            co_await e.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 5\r\n\r\nother");
-            co_return;
-        }
-        const auto& chosen_script = n == 0 ? interrupted_script : complete_script;
-        co_await chosen_script(e);
+    const auto answering_as_another_server = [](backend_exchange& e) -> task<void> {
+        co_await e.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 5\r\n\r\nother");
     };
+    const script_sequence script({interrupting(), answering_as_another_server, streaming(5)});
     for (const char* id : {"s1", "s2", "s3"}) {
         add_backend(id, "models", script);
     }
