--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -8,7 +8,6 @@
 #include "quarantine/part_quarantine.h"
 
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
