Budget schedules name the seeds that overspent

Cause: a failure told only how many schedules overspent, which traces nothing. Change: each overspent schedule is named with its seed, the spendable and the taken tokens. The checks are as strict as before.

--- a/test/gateway/budget_keeper_test.cpp
+++ b/test/gateway/budget_keeper_test.cpp
@@ -10,7 +10,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
+#include <string>
 #include <vector>
 
 namespace eelgrassgw {
@@ -315,9 +317,9 @@
 
 /// Summary of a set of schedules.
 struct schedule_results {
-    int finished_schedules = 0;  ///< Number of schedules that ran all their steps.
-    int overspent_schedules = 0; ///< Number of schedules that could spend more than was paid.
-    int served_requests = 0;     ///< Number of requests that got a reservation, over all schedules.
+    int finished_schedules = 0;         ///< Number of schedules that ran all their steps.
+    std::vector<std::string> overspent; ///< The schedules that could spend more than was paid.
+    int served_requests = 0;            ///< Number of requests that got a reservation, over all schedules.
 };
 
 /// Runs all schedules concurrently on one thread and checks each of them afterwards.
@@ -346,9 +348,12 @@
     schedule_results results;
     for (const auto& fleet : fleets) {
         results.finished_schedules += fleet->finished ? 1 : 0;
-        results.overspent_schedules +=
-            fleet->spendable_tokens() > prepaid_tokens || fleet->ledger->max_taken["c"] > prepaid_tokens ? 1
-                                                                                                         : 0;
+        const tokens spendable = fleet->spendable_tokens();
+        const tokens taken = fleet->ledger->max_taken["c"];
+        if (std::max(spendable, taken) > prepaid_tokens) {
+            results.overspent.push_back("seed " + std::to_string(fleet->plan.seed) + ": spendable " +
+                                        std::to_string(spendable) + ", taken " + std::to_string(taken));
+        }
         results.served_requests += fleet->served_requests;
     }
     return results;
@@ -368,7 +373,7 @@
     const auto plans = plans_of_both_kinds(300);
     const schedule_results results = run_schedules(plans, ledger_defect::none);
     EXPECT_EQ(int(plans.size()), results.finished_schedules);
-    EXPECT_EQ(0, results.overspent_schedules);
+    EXPECT_EQ(std::vector<std::string>{}, results.overspent);
     EXPECT_GT(results.served_requests, int(plans.size()) * 10)
         << "the schedules served too few requests to test anything";
 }
@@ -386,7 +391,7 @@
     const auto plans = plans_with_restores(200);
     const schedule_results results = run_schedules(plans, ledger_defect::none);
     EXPECT_EQ(int(plans.size()), results.finished_schedules);
-    EXPECT_EQ(0, results.overspent_schedules);
+    EXPECT_EQ(std::vector<std::string>{}, results.overspent);
     EXPECT_GT(results.served_requests, int(plans.size()) * 10)
         << "the schedules served too few requests to test anything";
 }
@@ -398,8 +403,8 @@
     const auto plans = plans_with_restores(120);
     const schedule_results results = run_schedules(plans, GetParam());
     EXPECT_EQ(int(plans.size()), results.finished_schedules);
-    EXPECT_GE(results.overspent_schedules, min_overspent_schedules);
-    RecordProperty("overspent", results.overspent_schedules);
+    EXPECT_GE(int(results.overspent.size()), min_overspent_schedules);
+    RecordProperty("overspent", int(results.overspent.size()));
 }
 
 class defect_test : public ::testing::TestWithParam<ledger_defect> {};
@@ -409,8 +414,8 @@
     const auto plans = plans_of_both_kinds(60);
     const schedule_results results = run_schedules(plans, GetParam());
     EXPECT_EQ(int(plans.size()), results.finished_schedules);
-    EXPECT_GE(results.overspent_schedules, min_overspent_schedules);
-    RecordProperty("overspent", results.overspent_schedules);
+    EXPECT_GE(int(results.overspent.size()), min_overspent_schedules);
+    RecordProperty("overspent", int(results.overspent.size()));
 }
 
 std::string defect_name(const ::testing::TestParamInfo<ledger_defect>& info) {
