--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -144,7 +144,7 @@
         buffer_.commit(n);
     }
     idle_ = false;
-    co_return !ec || has_unread_bytes();
+    co_return !ec || has_unread_bytes(); // Bytes may have arrived after `close_if_idle` ended the wait.
 }
 
 /// Reads one whole request. If the request exceeds a limit or cannot be parsed, sends a refusal and returns
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -345,7 +345,7 @@
         close_idle_sessions();
         co_await sleep_for(milliseconds(20));
     }
-    core_.refusing_requests = true;
+    core_.refusing_requests = true; // The process may end before a server could answer.
     net_error ignored;
     acceptor_->close(ignored);
     const bool allowances_returned = co_await budgets_.return_allowances();
