Quarantine: the fifth crash suffices, also if no answer was seen to begin

Cause, from its logs: all five crashes had "after_begin" false in the evidence, since a reset discards a head that the router has not read yet. Such a crash weighed half of one after the begin, so a sixth was needed (all routers quarantined the part at once after it, 18.3 s). Change: a crash before the begin weighs 3, one after it 5, and a part is in quarantine from 15 on: three, or five, or two and two as before. Conclusion: the bound after the fifth crash holds whatever the routers saw of the answers.

--- a/src/quarantine/part_quarantine.h
+++ b/src/quarantine/part_quarantine.h
@@ -37,8 +37,8 @@
 /// is. So a crash counts against a part until a request with it that began after the crash is answered, and a
 /// part that was answered before needs more crashes. Crashes at nearly the same moment count once, because
 /// one cause may end many servers, as a power cut does. A request that was still waiting for its turn on the
-/// server counts for half of one whose answer had begun. A part in quarantine explains its crashes, so they
-/// do not count against other parts.
+/// server counts for three fifths of one whose answer had begun. A part in quarantine explains its crashes,
+/// so they do not count against other parts.
 ///
 /// All routers share their evidence. Which parts are in quarantine follows from the evidence alone, so all
 /// routers come to the same decision, and a part is released once later evidence explains its crashes by
@@ -49,11 +49,13 @@
     using milliseconds = std::chrono::milliseconds;
 
     /// Weight of a crash of a server that had begun to answer a request with the part.
-    static constexpr int weight_after_begin = 2;
+    static constexpr int weight_after_begin = 5;
     /// Weight of a crash of a server on which such a request was still waiting.
-    static constexpr int weight_before_begin = 1;
-    /// Weight of the crashes after which a part that was never answered is in quarantine.
+    static constexpr int weight_before_begin = 3;
+    /// Weight of the crashes after which a part that was never answered is in quarantine: three of the
+    /// heavier ones, or five of the lighter ones.
     static constexpr int max_weight = 3 * weight_after_begin;
+    static_assert(5 * weight_before_begin >= max_weight);
     /// Weight of the crashes after which a part that was answered before them is in quarantine.
     static constexpr int max_weight_if_answered = 5 * weight_after_begin;
     /// Crashes within this time of a counted one are not counted.
