Evidence about a prompt part no longer carries a position that nothing reads

Cause: each part's evidence held its place in the prompts; it was sent, stored and merged, and no decision read it. Change: the field is gone, from the notices and the stored object too. A change of it alone no longer causes a notice. The test of merging loses the line that set it; its comparison stands.

--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -31,7 +31,6 @@
 Json::Value to_json(const part_evidence& evidence) {
     Json::Value document;
     document["was_answered"] = evidence.was_answered;
-    document["position"] = evidence.position;
     for (const auto& [server, crash] : evidence.crashes) {
         Json::Value& entry = document["crashes"][server];
         entry["noted_ms"] = to_unix_ms(crash.noted_at);
@@ -44,9 +43,8 @@
 } // namespace
 
 bool part_evidence::merge(const part_evidence& other) {
-    bool changed = (other.was_answered && !was_answered) || other.position > position;
+    bool changed = other.was_answered && !was_answered;
     was_answered = was_answered || other.was_answered;
-    position = std::max(position, other.position);
     for (const auto& [server, crash] : other.crashes) {
         const auto it = crashes.find(server);
         if (it != crashes.end()) {
@@ -80,7 +78,6 @@
         }
         part_evidence& known = evidence[part];
         known.was_answered = bool_member(document[part], "was_answered");
-        known.position = int(int_member(document[part], "position"));
         for (const std::string& server : crashes.getMemberNames()) {
             known.crashes[server] = {time_member(crashes[server], "noted_ms"),
                                      bool_member(crashes[server], "after_begin"),
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -32,8 +32,6 @@
     /// Whether a router has seen a request with the part answered before it heard of the crashes.
     bool was_answered = false;
 
-    int position = 0; ///< Position of the part in its prompts, from 0. Later parts are more specific.
-
     /// Adds what `other` knows. Returns whether that changed anything.
     bool merge(const part_evidence& other);
 };
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -31,12 +31,10 @@
                                  const std::vector<interrupted_request>& requests, clock_reading now) {
     evidence_by_part evidence;
     for (const interrupted_request& request : requests) {
-        int position = 0;
         for (const std::string& part : request.parts) {
-            part_evidence& known = evidence[part];
-            const bool after_begin = known.crashes[incarnation].after_begin || request.after_begin;
-            known.crashes[incarnation] = {now.wall, after_begin, false};
-            known.position = std::max(known.position, position++);
+            part_evidence::crash& known = evidence[part].crashes[incarnation];
+            known.noted_at = now.wall;
+            known.after_begin = known.after_begin || request.after_begin;
         }
     }
     add(evidence, true, now);
--- a/test/gateway/part_quarantine_test.cpp
+++ b/test/gateway/part_quarantine_test.cpp
@@ -322,7 +322,6 @@
                                         random() % 2 == 0};
             }
             each.was_answered = random() % 2 == 0;
-            each.position = int(random() % 3);
         }
         part_evidence forward;
         part_evidence shuffled;
