One default for how long idle connections are kept

Cause: crash_detector stated the 4 s of backend_reply a second time. Change: connection_pool, which both use, has the constant. Behaviour is as before.

--- a/src/gateway/backend_reply.cpp
+++ b/src/gateway/backend_reply.cpp
@@ -119,7 +119,7 @@
     const auto text = head()[http::field::keep_alive];
     const auto server_timeout = parse_keep_alive_timeout({text.data(), text.size()});
     return server_timeout.has_value() ? std::chrono::milliseconds(*server_timeout) - server_close_margin
-                                      : default_reuse_time;
+                                      : connection_pool::default_reuse_time;
 }
 
 } // namespace eelgrassgw
--- a/src/gateway/backend_reply.h
+++ b/src/gateway/backend_reply.h
@@ -32,9 +32,6 @@
 public:
     using head_classifier = std::function<answer_kind(const reply_head&)>;
 
-    /// Time for which an idle connection is kept if the server does not announce a timeout.
-    static constexpr std::chrono::milliseconds default_reuse_time{4000};
-
     /// `head_only` says that the reply has no body, as for a HEAD request.
     /// Precondition: `upstream` outlives this object.
     backend_reply(connection& upstream, bool head_only) : upstream_(upstream), head_only_(head_only) {}
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -24,7 +24,7 @@
     // the prompt may have got into quarantine.
     if (!server->accepts_requests(clock::now()) || check_quarantine()) {
         error_ = "server " + server->server.id + " accepts no requests like this one";
-        core_.pool.keep(std::move(upstream), backend_reply::default_reuse_time);
+        core_.pool.keep(std::move(upstream), connection_pool::default_reuse_time);
         co_return attempt_outcome::not_sent;
     }
     server->begin_request(clock::now());
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -41,6 +41,8 @@
     /// connection.
     static constexpr std::chrono::milliseconds unacknowledged_timeout{2500};
     static constexpr std::size_t max_idle_connections_per_peer = 32;
+    /// Time for which an idle connection is kept if the server does not announce a timeout.
+    static constexpr std::chrono::milliseconds default_reuse_time{4000};
 
     explicit connection_pool(asio::io_context& context) : context_(context) {}
 
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -7,14 +7,11 @@
 
 namespace {
 
-/// Time for which a new connection is kept for reuse, as the server has not announced its idle timeout.
-constexpr std::chrono::milliseconds default_reuse_time{4000};
-
 /// Returns the time for which a connection may go on waiting for reuse.
 std::chrono::milliseconds reuse_time_of(const connection& idle) {
     const auto now = connection_pool::clock::now();
     return idle.keep_until > now ? std::chrono::floor<std::chrono::milliseconds>(idle.keep_until - now)
-                                 : default_reuse_time;
+                                 : connection_pool::default_reuse_time;
 }
 
 std::string name_incarnation(const backend_server& server) {
