The progress of an attempt is one value that each attempt begins anew

Cause: four members were reset one by one at the start of an attempt, and the time at which an answer began was kept, but only asked whether it was set. Change: attempt_progress holds them, with a flag for the begin; one assignment resets it. Behaviour is as before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -126,6 +126,14 @@
     milliseconds time_left() const { return std::chrono::ceil<milliseconds>(deadline_ - clock::now()); }
     bool is_stream() const { return route_ != nullptr && route_->kind == request_kind::stream; }
 
+    /// What an attempt has shown so far of the server and of the prompt.
+    struct attempt_progress {
+        bool answer_began = false;                       ///< Whether the head of a success has arrived.
+        std::optional<clock::time_point> first_piece_at; ///< Time of the first event.
+        bool parts_survived = false;  ///< Whether the answer has shown that the prompt is harmless.
+        bool connection_lost = false; ///< Whether the server's connection ended inside the answer.
+    };
+
     Core& core_;
     const text_request& request_;
     std::shared_ptr<exchange_control> shared_control_;
@@ -144,10 +152,7 @@
     std::vector<std::string> tried_server_ids_;
     int attempts_sent_ = 0; ///< Number of backend servers that the request was sent to.
     bool may_have_run_ = false;
-    std::optional<clock::time_point> answer_began_at_; ///< Time of the head of the current attempt's answer.
-    std::optional<clock::time_point> first_piece_at_;  ///< Time of the first event of the current attempt.
-    bool parts_survived_ = false;  ///< Whether the current attempt has shown that its prompt is harmless.
-    bool connection_lost_ = false; ///< Whether the server's connection ended inside the current answer.
+    attempt_progress progress_;              ///< Progress of the current attempt.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
     std::optional<unread_prompt>
         unread_prompt_; ///< Prompt of the current attempt, until the server has read it.
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -33,13 +33,10 @@
     const bool may_have_run_before = may_have_run_;
     may_have_run_ = true;
     ++attempts_sent_;
-    answer_began_at_.reset();
-    first_piece_at_.reset();
-    parts_survived_ = false;
-    connection_lost_ = false;
+    progress_ = {};
     const attempt_outcome outcome = co_await send_and_receive(server, *upstream);
     control_.detach_upstream();
-    if (connection_lost_ && !control_.cancelled()) {
+    if (progress_.connection_lost && !control_.cancelled()) {
         note_broken_answer(*server);
     }
     --server->running_requests;
@@ -73,7 +70,7 @@
     }
     if (kind == answer_kind::invalid) {
         error_ = ec ? "send to " + upstream.peer + ": " + ec.message() : reply.error();
-        connection_lost_ = reply.connection_lost();
+        progress_.connection_lost = reply.connection_lost();
         avoid_server(*server, avoid_invalid_answer_time);
         co_return control_.cancelled() ? attempt_outcome::cancelled : attempt_outcome::invalid_answer;
     }
@@ -85,7 +82,7 @@
                                                      backend_reply& reply, answer_kind kind) {
     attempt_fields_["framing"] = name_of(reply.framing());
     if (kind == answer_kind::success) {
-        answer_began_at_ = clock::now();
+        progress_.answer_began = true;
     }
     attempt_outcome outcome = attempt_outcome::invalid_answer;
     if (kind == answer_kind::success && is_stream()) {
@@ -93,8 +90,8 @@
     } else {
         outcome = co_await forward_body(server, reply, kind);
     }
-    connection_lost_ = reply.connection_lost() || (outcome == attempt_outcome::broken_midway &&
-                                                   reply.framing() == body_framing::connection_end);
+    progress_.connection_lost = reply.connection_lost() || (outcome == attempt_outcome::broken_midway &&
+                                                            reply.framing() == body_framing::connection_end);
     if (outcome == attempt_outcome::answered) {
         note_answer_progress(true);
     }
@@ -146,22 +143,23 @@
 template <class Core>
 void exchange<Core>::note_answer_progress(bool whole) {
     const bool has_parts = terms_.prompt && !terms_.prompt->shared_parts.empty();
-    if (!has_parts || parts_survived_ || !answer_began_at_) {
+    if (!has_parts || progress_.parts_survived || !progress_.answer_began) {
         return;
     }
     const auto now = clock::now();
-    first_piece_at_ = first_piece_at_.value_or(now);
-    parts_survived_ = whole || now - *first_piece_at_ >= part_quarantine::survival_time;
-    if (parts_survived_) {
-        core_.quarantine.note_survival(terms_.prompt->shared_parts, *first_piece_at_, clock_reading::now());
+    progress_.first_piece_at = progress_.first_piece_at.value_or(now);
+    progress_.parts_survived = whole || now - *progress_.first_piece_at >= part_quarantine::survival_time;
+    if (progress_.parts_survived) {
+        core_.quarantine.note_survival(terms_.prompt->shared_parts, *progress_.first_piece_at,
+                                       clock_reading::now());
     }
 }
 
 /// Has the server checked for a crash, unless the answer has shown that its prompt is harmless.
 template <class Core>
 void exchange<Core>::note_broken_answer(const tracked_backend& server) const {
-    if (terms_.prompt && !parts_survived_) {
-        core_.crashes.note_broken_answer(server, terms_.prompt->shared_parts, answer_began_at_.has_value());
+    if (terms_.prompt && !progress_.parts_survived) {
+        core_.crashes.note_broken_answer(server, terms_.prompt->shared_parts, progress_.answer_began);
     }
 }
 
