The outcome of a write of the ledger is that of its object

Cause: ledger_write repeated the three outcomes of object_write, and budget_store translated one into the other. Change: ledger_write names those of object_write. Behaviour is as before.

--- a/src/budgets/ledger_store.h
+++ b/src/budgets/ledger_store.h
@@ -18,13 +18,10 @@
     store_position position;
 };
 
-/// The outcome of a conditional write.
+/// The outcome of a conditional write of the ledger, whose object is decoded in `current`.
 struct ledger_write {
-    enum class status_kind {
-        applied,  ///< The write succeeded; `current` is the written ledger.
-        conflict, ///< The write was not applied; `current` is the current ledger.
-        unknown,  ///< The write may have been applied, or may still be applied later.
-    };
+    using status_kind = object_write::status_kind;
+
     status_kind status = status_kind::unknown;
     versioned_ledger current;
     std::string error; ///< Error message if the outcome is `unknown`.
