--- a/include/eelgrassgw/transport/http_message.h
+++ b/include/eelgrassgw/transport/http_message.h
@@ -46,6 +46,9 @@
 /// Returns a reply with the JSON text of `body` and its content type.
 http_response json_response(int status, const Json::Value& body);
 
+/// Returns the text with its ASCII letters in lower case.
+std::string to_lower_case(std::string text);
+
 /// Percent-encodes all characters except letters, digits and "-_.~/".
 std::string percent_encode(const std::string& text);
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -160,13 +160,6 @@
     boost::beast::flat_buffer buffer_;
 };
 
-std::string to_lower_case(std::string text) {
-    for (char& c : text) {
-        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    }
-    return text;
-}
-
 http_response to_response(http::response<http::string_body> reply) {
     http_response response;
     response.status = static_cast<int>(reply.result_int());
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -1,5 +1,6 @@
 #include "eelgrassgw/transport/http_message.h"
 
+#include <algorithm>
 #include <cctype>
 
 namespace eelgrassgw {
@@ -47,6 +48,11 @@
     return {status, {{"content-type", "application/json"}}, to_text(body) + "\n"};
 }
 
+std::string to_lower_case(std::string text) {
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
 std::string percent_encode(const std::string& text) {
     static const char digits[] = "0123456789ABCDEF";
     std::string out;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -22,11 +22,6 @@
 
 namespace {
 
-std::string to_lower_case(std::string text) {
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-    return text;
-}
-
 http_request to_request(const cxxtools::http::Request& cxxtools_request, std::string peer) {
     http_request request;
     request.method = cxxtools_request.method();
