--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,7 +17,8 @@
 ROUNDS = 8
 AT_ONCE = int(os.environ.get("AT_ONCE", "2"))  # Requests with the part that come at the same time, at different machines.
 MAX_AFTER_BOUND = 3
-BEGINS_WITH_HEAD = os.environ.get("HEAD", "0") == "1"
+BEGINS_WITH_HEAD = os.environ.get("HEAD", "0") == "1"  # Variant: the head is sent before the crash.
+WRITES_FOR_S = float(os.environ.get("WRITES_FOR_S", "0"))  # Variant: events are sent for so long before the crash.
 
 
 class Pool:
@@ -39,10 +40,16 @@
         if not trouble_wanted():
             return False
         await asyncio.sleep(FIRST_TOKEN_S)
-        if BEGINS_WITH_HEAD:
+        if BEGINS_WITH_HEAD or WRITES_FOR_S:
             writer.write(engine.head(headers["attempt-id"],
                                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
             await asyncio.sleep(0.005)
+        begun, number = now(), int(headers.get("last-event-id") or 0)
+        while now() < begun + WRITES_FOR_S and engine in self.engines:
+            number += 1
+            data = engine.event(headers["attempt-id"], number)
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await asyncio.sleep(0.03)
         engine.note_run(headers["attempt-id"])
         self.crash(engine)
         raise ConnectionError
