Quarantine: crashes count however close together, and only whole answers end a suspicion

Cause: crashes within 100 ms weighed as one moment, although a router that sends a request to the next server at once makes just this pattern; an answer of 300 ms cleared a part for good, although a server may write for longer before it crashes; and nothing counted the crashes as such, as the rule does.

Change: an answer speaks against a crash only if it is whole or has gone on for longer than any that the crash broke off. Five crashes at whatever times make a part suspect unless an answer with it survives within 1 s. One outage of all servers looks the same, so routers take turns to send single probes, which are not sent again; the cause is proven once crashes return while other requests are answered. part_suspicion judges one part's evidence, probe_schedule tells whose turn it is.

The tests' calls of note_survival became note_answer and note_progress; all old expectations stand.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,6 +97,7 @@
     std::optional<refusal> check_admission();
     std::optional<refusal> check_request();
     std::optional<refusal> check_quarantine() const;
+    bool is_kept_back() const;
     void start_timeout();
     task<std::optional<refusal>> reserve_budget();
     task<void> send_until_answered();
@@ -113,7 +114,8 @@
     task<void> refuse(refusal rejection);
     bool is_next_attempt_allowed(attempt_outcome last);
     std::shared_ptr<tracked_backend> choose_server();
-    void note_answer_progress(bool whole);
+    void note_answer_progress();
+    void note_whole_answer();
     void note_broken_answer(const tracked_backend& server) const;
     void note_server_notice(tracked_backend& server, const reply_head& head);
     void avoid_server(tracked_backend& server, milliseconds duration) {
@@ -130,7 +132,6 @@
     struct attempt_progress {
         bool answer_began = false;                       ///< Whether the head of a success has arrived.
         std::optional<clock::time_point> first_piece_at; ///< Time of the first event.
-        bool parts_survived = false;  ///< Whether the answer has shown that the prompt is harmless.
         bool connection_lost = false; ///< Whether the server's connection ended inside the answer.
     };
 
@@ -152,6 +153,8 @@
     std::vector<std::string> tried_server_ids_;
     int attempts_sent_ = 0; ///< Number of backend servers that the request was sent to.
     bool may_have_run_ = false;
+    bool is_probe_ =
+        false; ///< Whether the request finds out for all routers if its prompt parts are harmless.
     attempt_progress progress_;              ///< Progress of the current attempt.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
     std::optional<unread_prompt>
@@ -179,6 +182,9 @@
     }
     timeout_timer_.cancel();
     control_.finish();
+    if (is_probe_ && attempts_sent_ == 0) {
+        core_.quarantine.return_probe(terms_.prompt->shared_parts);
+    }
     settle_budget();
     log_outcome();
     co_return answer_.connection_reusable() && !control_.cancelled();
@@ -221,7 +227,10 @@
         return refusal{refusal_reason::malformed, "the request does not state its prompt", {}};
     }
     if (std::optional<refusal> refused = check_quarantine()) {
-        return refused;
+        is_probe_ = core_.quarantine.take_probe(terms_.prompt->shared_parts, clock_reading::now());
+        if (!is_probe_) {
+            return refused;
+        }
     }
     service_ = choose_service(*route_, random_below(1U << 30U));
     core_.retries.record_request(service_, clock::now());
@@ -243,6 +252,18 @@
                    found->time_left};
 }
 
+/// Returns whether the request must not be sent to a server, or to no further one, because of a part in
+/// quarantine.
+template <class Core>
+bool exchange<Core>::is_kept_back() const {
+    if (!terms_.prompt || core_.quarantine.empty()) {
+        return false;
+    }
+    const auto found = core_.quarantine.find_quarantined(terms_.prompt->shared_parts, clock_reading::now());
+    const bool is_unsent_probe = is_probe_ && attempts_sent_ == 0;
+    return found && !(is_unsent_probe && found->may_be_probed);
+}
+
 template <class Core>
 void exchange<Core>::start_timeout() {
     deadline_ = started_ + std::min(route_->timeout, terms_.deadline.value_or(route_->timeout));
@@ -285,7 +306,7 @@
         if (control_.cancelled() || time_left() < min_attempt_time) {
             co_return co_await send_final_answer(attempt_outcome::cancelled);
         }
-        if (check_quarantine()) { // The part may have got into quarantine during an earlier attempt.
+        if (is_kept_back()) { // The part may have got into quarantine during an earlier attempt.
             co_return co_await send_final_answer(attempt_outcome::not_sent);
         }
         const std::shared_ptr<tracked_backend> server = choose_server();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -266,7 +266,9 @@
             log_.write("backend_servers_lapsed", std::move(fields));
         }
         core_.retries.set_router_count(budgets_.router_count());
-        core_.notices.set_peers(budgets_.other_router_addresses());
+        const std::vector<std::string> other_routers = budgets_.other_router_addresses();
+        core_.notices.set_peers(other_routers);
+        core_.quarantine.set_routers(settings_.notice_listen, other_routers);
         core_.pool.close_stale();
         control_pool_.close_stale();
         metrics_.set("requests_running", core_.running_requests);
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -22,7 +22,7 @@
     std::unique_ptr<connection> upstream = std::move(opened.value());
     // While this task waited for the connection, the server may have begun to leave or to pause, or a part of
     // the prompt may have got into quarantine.
-    if (!server->accepts_requests(clock::now()) || check_quarantine()) {
+    if (!server->accepts_requests(clock::now()) || is_kept_back()) {
         error_ = "server " + server->server.id + " accepts no requests like this one";
         core_.pool.keep(std::move(upstream), connection_pool::default_reuse_time);
         co_return attempt_outcome::not_sent;
@@ -93,7 +93,7 @@
     progress_.connection_lost = reply.connection_lost() || (outcome == attempt_outcome::broken_midway &&
                                                             reply.framing() == body_framing::connection_end);
     if (outcome == attempt_outcome::answered) {
-        note_answer_progress(true);
+        note_whole_answer();
     }
     const bool declined = kind == answer_kind::not_run || kind == answer_kind::wrong_server;
     if (declined) {
@@ -138,29 +138,37 @@
     }
 }
 
-/// Tells the quarantine once that the prompt's parts are harmless: if the answer is whole, or if the server
-/// has been writing it for a while.
+/// Tells the quarantine how long the server has been writing events of the answer.
 template <class Core>
-void exchange<Core>::note_answer_progress(bool whole) {
-    const bool has_parts = terms_.prompt && !terms_.prompt->shared_parts.empty();
-    if (!has_parts || progress_.parts_survived || !progress_.answer_began) {
-        return;
+void exchange<Core>::note_answer_progress() {
+    const auto now = clock_reading::now();
+    progress_.first_piece_at = progress_.first_piece_at.value_or(now.steady);
+    if (terms_.prompt && !core_.quarantine.empty()) {
+        core_.quarantine.note_progress(terms_.prompt->shared_parts, *progress_.first_piece_at, now);
     }
-    const auto now = clock::now();
-    progress_.first_piece_at = progress_.first_piece_at.value_or(now);
-    progress_.parts_survived = whole || now - *progress_.first_piece_at >= part_quarantine::survival_time;
-    if (progress_.parts_survived) {
-        core_.quarantine.note_survival(terms_.prompt->shared_parts, *progress_.first_piece_at,
-                                       clock_reading::now());
+}
+
+/// Tells the quarantine that the prompt's parts are harmless.
+template <class Core>
+void exchange<Core>::note_whole_answer() {
+    if (terms_.prompt) {
+        const auto now = clock_reading::now();
+        const auto began_at = progress_.first_piece_at.value_or(now.steady);
+        core_.quarantine.note_answer(terms_.prompt->shared_parts, began_at, now);
     }
 }
 
-/// Has the server checked for a crash, unless the answer has shown that its prompt is harmless.
+/// Has the server checked for a crash.
 template <class Core>
 void exchange<Core>::note_broken_answer(const tracked_backend& server) const {
-    if (terms_.prompt && !progress_.parts_survived) {
-        core_.crashes.note_broken_answer(server, terms_.prompt->shared_parts, progress_.answer_began);
+    if (!terms_.prompt) {
+        return;
+    }
+    interrupted_request interrupted{terms_.prompt->shared_parts, progress_.answer_began};
+    if (progress_.first_piece_at) {
+        interrupted.written_for = std::chrono::floor<milliseconds>(clock::now() - *progress_.first_piece_at);
     }
+    core_.crashes.note_broken_answer(server, std::move(interrupted));
 }
 
 /// Forwards each event as soon as it is complete.
@@ -191,7 +199,7 @@
         if (!complete_events.empty()) {
             first_event_after_ = first_event_after_.value_or(elapsed());
             unread_prompt_->mark_read();
-            note_answer_progress(false);
+            note_answer_progress();
         }
         if (!co_await answer_.send_piece(std::move(complete_events))) {
             control_.note_caller_left();
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -20,14 +20,13 @@
 
 } // namespace
 
-void crash_detector::note_broken_answer(const tracked_backend& server, std::vector<std::string> parts,
-                                        bool after_begin) {
-    if (parts.empty()) {
+void crash_detector::note_broken_answer(const tracked_backend& server, interrupted_request request) {
+    if (request.parts.empty()) {
         return;
     }
     const std::string incarnation = name_incarnation(server.server);
     const bool is_first = !unchecked_.contains(incarnation);
-    unchecked_[incarnation].push_back({std::move(parts), after_begin});
+    unchecked_[incarnation].push_back(std::move(request));
     if (is_first) {
         asio::co_spawn(context_, check(incarnation, server.server.address), asio::detached);
     }
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -30,9 +30,8 @@
                    event_sink_function log)
         : context_(context), pool_(pool), quarantine_(quarantine), log_(std::move(log)) {}
 
-    /// Notes that the server broke off the answer to a request with these shared prompt parts, and checks the
-    /// server soon. `after_begin` says whether the answer had begun.
-    void note_broken_answer(const tracked_backend& server, std::vector<std::string> parts, bool after_begin);
+    /// Notes that the server broke off the answer to a request, and checks the server soon.
+    void note_broken_answer(const tracked_backend& server, interrupted_request request);
 
 private:
     task<void> check(std::string incarnation, std::string address);
--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -21,10 +21,14 @@
 /// Adds one router's view of a crash. Returns whether that changed anything.
 bool merge_crash(part_evidence::crash& known, const part_evidence::crash& other) {
     const bool changed = (other.after_begin && !known.after_begin) || (other.outlived && !known.outlived) ||
-                         other.noted_at < known.noted_at;
+                         (other.survived && !known.survived) || other.written_for > known.written_for ||
+                         (other.after_answers && !known.after_answers) || other.noted_at < known.noted_at;
     known.noted_at = std::min(known.noted_at, other.noted_at);
     known.after_begin = known.after_begin || other.after_begin;
+    known.written_for = std::max(known.written_for, other.written_for);
+    known.survived = known.survived || other.survived;
     known.outlived = known.outlived || other.outlived;
+    known.after_answers = known.after_answers || other.after_answers;
     return changed;
 }
 
@@ -36,12 +40,37 @@
         entry["noted_ms"] = to_unix_ms(crash.noted_at);
         entry["after_begin"] = crash.after_begin;
         entry["outlived"] = crash.outlived;
+        if (crash.written_for > std::chrono::milliseconds(0)) {
+            entry["written_ms"] = Json::Int64(crash.written_for.count());
+        }
+        if (crash.survived) {
+            entry["survived"] = true;
+        }
+        if (crash.after_answers) {
+            entry["after_answers"] = true;
+        }
     }
     return document;
 }
 
+part_evidence::crash parse_crash(const Json::Value& document) {
+    part_evidence::crash crash;
+    crash.noted_at = time_member(document, "noted_ms");
+    crash.after_begin = bool_member(document, "after_begin");
+    crash.written_for = std::chrono::milliseconds(int_member(document, "written_ms"));
+    crash.survived = bool_member(document, "survived");
+    crash.outlived = bool_member(document, "outlived");
+    crash.after_answers = bool_member(document, "after_answers");
+    return crash;
+}
+
 } // namespace
 
+std::size_t part_evidence::open_crash_count() const {
+    return std::size_t(std::count_if(crashes.begin(), crashes.end(),
+                                     [](const auto& each) { return !each.second.outlived; }));
+}
+
 bool part_evidence::merge(const part_evidence& other) {
     bool changed = other.was_answered && !was_answered;
     was_answered = was_answered || other.was_answered;
@@ -79,9 +108,7 @@
         part_evidence& known = evidence[part];
         known.was_answered = bool_member(document[part], "was_answered");
         for (const std::string& server : crashes.getMemberNames()) {
-            known.crashes[server] = {time_member(crashes[server], "noted_ms"),
-                                     bool_member(crashes[server], "after_begin"),
-                                     bool_member(crashes[server], "outlived")};
+            known.crashes[server] = parse_crash(crashes[server]);
         }
     }
     return evidence;
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -24,12 +24,23 @@
     struct crash {
         wall_time noted_at{}; ///< Earliest time at which a router noted the crash, by that router's clock.
         bool after_begin = false; ///< Whether the server had begun to answer such a request.
-        bool outlived = false;    ///< Whether another request with the part was answered after the crash.
+        /// Longest time for which the server had been writing an answer to such a request.
+        std::chrono::milliseconds written_for{0};
+        /// Whether another server wrote an answer with the part, begun after the crash, for a while.
+        bool survived = false;
+        /// Whether such an answer was whole, or was written for longer than `written_for`.
+        bool outlived = false;
+        /// Whether a router saw any answer survive that began after the crash before this one, so that the
+        /// two are no part of one outage of all servers.
+        bool after_answers = false;
     };
 
     std::map<std::string, crash> crashes; ///< Crashes by the incarnation of the server.
 
-    /// Whether a router has seen a request with the part answered before it heard of the crashes.
+    /// Returns the number of crashes that no later answer outlived.
+    std::size_t open_crash_count() const;
+
+    /// Whether a router has seen a request with the part answered whole before it heard of the crashes.
     bool was_answered = false;
 
     /// Adds what `other` knows. Returns whether that changed anything.
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -35,30 +35,54 @@
             part_evidence::crash& known = evidence[part].crashes[incarnation];
             known.noted_at = now.wall;
             known.after_begin = known.after_begin || request.after_begin;
+            known.written_for = std::max(known.written_for, request.written_for);
+            known.after_answers = is_after_answers(part);
         }
     }
     add(evidence, true, now);
 }
 
-void part_quarantine::note_survival(const std::vector<std::string>& parts, steady_time began_at,
-                                    clock_reading now) {
-    bool has_news = false;
+void part_quarantine::note_answer(const std::vector<std::string>& parts, steady_time began_at,
+                                  clock_reading now) {
+    last_answer_began_at_ = std::max(last_answer_began_at_, began_at);
     for (const std::string& part : parts) {
         answered_.insert(part, now.steady);
-        const auto it = parts_.find(part);
-        if (it == parts_.end()) {
+        note_survival(part, began_at, true, now);
+    }
+}
+
+void part_quarantine::note_progress(const std::vector<std::string>& parts, steady_time began_at,
+                                    clock_reading now) {
+    if (now.steady - began_at < survival_time) {
+        return;
+    }
+    last_answer_began_at_ = std::max(last_answer_began_at_, began_at);
+    for (const std::string& part : parts) {
+        note_survival(part, began_at, false, now);
+    }
+}
+
+/// Notes which crashes under a part the answer to a request with it speaks against. `whole` says whether the
+/// answer is complete; otherwise it has gone on for the survival time.
+void part_quarantine::note_survival(const std::string& part, steady_time began_at, bool whole,
+                                    clock_reading now) {
+    const auto it = parts_.find(part);
+    if (it == parts_.end()) {
+        return;
+    }
+    tracked_part& tracked = it->second;
+    bool has_news = false;
+    for (auto& [server, crash] : tracked.evidence.crashes) {
+        if (crash.outlived || tracked.learned_at.at(server) >= began_at) {
             continue;
         }
-        tracked_part& tracked = it->second;
-        for (auto& [server, crash] : tracked.evidence.crashes) {
-            if (!crash.outlived && tracked.learned_at.at(server) < began_at) {
-                crash.outlived = true;
-                tracked.has_unsent_change = true;
-                has_news = true;
-            }
-        }
+        const bool outlived = whole || now.steady - began_at >= crash.written_for + survival_time;
+        has_news = has_news || outlived || !crash.survived;
+        crash.survived = true;
+        crash.outlived = outlived;
     }
     if (has_news) {
+        tracked.has_unsent_change = true;
         decide();
     }
 }
@@ -86,19 +110,59 @@
     decide();
 }
 
-std::optional<quarantined_part> part_quarantine::find_quarantined(const std::vector<std::string>& parts,
-                                                                  clock_reading now) const {
+/// Returns the group in quarantine all of whose parts are among these; null if there is none.
+const part_quarantine::quarantined_group* part_quarantine::find_group(const std::vector<std::string>& parts,
+                                                                      clock_reading now) const {
     const auto is_requested = [&](const std::string& part) {
         return std::find(parts.begin(), parts.end(), part) != parts.end();
     };
-    for (const part_group& group : quarantined_) {
-        const part_evidence& evidence = parts_.at(*group.begin()).evidence;
-        const auto time_left = last_crash_time(evidence) + quarantine_time - now.wall;
-        if (time_left > std::chrono::seconds(0) && std::all_of(group.begin(), group.end(), is_requested)) {
-            return quarantined_part{*group.begin(), std::chrono::ceil<milliseconds>(time_left)};
+    for (const quarantined_group& group : quarantined_) {
+        const wall_time last = last_crash_time(parts_.at(*group.parts.begin()).evidence);
+        const bool is_in_force = now.wall >= group.in_force_from && now.wall < last + quarantine_time;
+        if (is_in_force && std::all_of(group.parts.begin(), group.parts.end(), is_requested)) {
+            return &group;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<quarantined_part> part_quarantine::find_quarantined(const std::vector<std::string>& parts,
+                                                                  clock_reading now) const {
+    const quarantined_group* group = find_group(parts, now);
+    if (group == nullptr) {
+        return std::nullopt;
+    }
+    const std::string& part = *group->parts.begin();
+    if (group->level == suspicion_level::probable) {
+        const auto until_probe = std::chrono::ceil<milliseconds>(group->probe_from - now.wall);
+        return quarantined_part{part, std::max(probe_schedule::turn_time, until_probe), true};
+    }
+    const auto time_left = last_crash_time(parts_.at(part).evidence) + quarantine_time - now.wall;
+    return quarantined_part{part, std::chrono::ceil<milliseconds>(time_left), false};
+}
+
+bool part_quarantine::take_probe(const std::vector<std::string>& parts, clock_reading now) {
+    const quarantined_group* group = find_group(parts, now);
+    if (group == nullptr || group->level != suspicion_level::probable || now.wall < group->probe_from) {
+        return false;
+    }
+    const std::string& part = *group->parts.begin();
+    const std::int64_t turn = probe_schedule::turn_at(now.wall);
+    std::int64_t& last_turn = parts_.at(part).last_probe_turn;
+    if (turn == last_turn || !probes_.is_own_turn(part, turn)) {
+        return false;
+    }
+    last_turn = turn;
+    return true;
+}
+
+void part_quarantine::return_probe(const std::vector<std::string>& parts) {
+    for (const std::string& part : parts) {
+        const auto it = parts_.find(part);
+        if (it != parts_.end()) {
+            it->second.last_probe_turn = 0;
         }
     }
-    return std::nullopt;
 }
 
 evidence_by_part part_quarantine::take_notices(clock_reading now) {
@@ -142,15 +206,15 @@
 
 std::size_t part_quarantine::quarantined_count() const {
     std::size_t n = 0;
-    for (const part_group& group : quarantined_) {
-        n += group.size();
+    for (const quarantined_group& group : quarantined_) {
+        n += group.parts.size();
     }
     return n;
 }
 
 bool part_quarantine::is_quarantined(const std::string& part) const {
     return std::any_of(quarantined_.begin(), quarantined_.end(),
-                       [&](const part_group& group) { return group.contains(part); });
+                       [&](const quarantined_group& group) { return group.parts.contains(part); });
 }
 
 /// Returns the entry of a part, for which another one may have to go.
@@ -165,8 +229,7 @@
 void part_quarantine::remove_least_suspect() {
     const auto rank = [&](const auto& each) {
         const part_evidence& evidence = each.second.evidence;
-        const int weight = weigh_crashes(evidence, unexplained_crashes(evidence, {}));
-        return std::tuple(is_quarantined(each.first), weight, last_crash_time(evidence));
+        return std::tuple(is_quarantined(each.first), weigh_crashes(evidence), last_crash_time(evidence));
     };
     const auto least = std::min_element(parts_.begin(), parts_.end(),
                                         [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
@@ -187,27 +250,27 @@
 /// Finds the parts that explain the crashes, the most suspect ones first, and puts exactly these into
 /// quarantine.
 void part_quarantine::decide() {
-    const std::vector<part_group> before = std::exchange(quarantined_, {});
-    incarnations explained;
-    for (part_group group = find_most_suspect(explained); !group.empty();
+    const std::vector<quarantined_group> before = std::exchange(quarantined_, {});
+    server_incarnations explained;
+    for (quarantined_group group = find_most_suspect(explained); !group.parts.empty();
          group = find_most_suspect(explained)) {
-        for (const auto& [server, crash] : parts_.at(*group.begin()).evidence.crashes) {
+        for (const auto& [server, crash] : parts_.at(*group.parts.begin()).evidence.crashes) {
             explained.insert(server);
         }
         quarantined_.push_back(std::move(group));
     }
-    if (quarantined_ != before) {
-        report_changes(before);
-    }
+    report_changes(before);
 }
 
 /// Reports the groups that were added to the quarantine or released from it.
-void part_quarantine::report_changes(const std::vector<part_group>& before) const {
-    const auto report_missing = [&](const std::vector<part_group>& groups,
-                                    const std::vector<part_group>& others, bool is_quarantined) {
-        for (const part_group& group : groups) {
-            if (std::find(others.begin(), others.end(), group) == others.end()) {
-                on_change_(group, evidence_of(group), is_quarantined);
+void part_quarantine::report_changes(const std::vector<quarantined_group>& before) const {
+    const auto report_missing = [&](const std::vector<quarantined_group>& groups,
+                                    const std::vector<quarantined_group>& others, bool is_quarantined) {
+        for (const quarantined_group& group : groups) {
+            const bool is_missing = std::none_of(
+                others.begin(), others.end(), [&](const auto& other) { return other.parts == group.parts; });
+            if (is_missing) {
+                on_change_(group.parts, evidence_of(group.parts), is_quarantined);
             }
         }
     };
@@ -226,73 +289,50 @@
     return evidence;
 }
 
-/// Returns the most suspect part that has too many unexplained crashes, with all parts that the evidence
-/// cannot tell from it; nothing if there is none. Parts that were never answered come first, then those with
-/// more crashes.
-part_quarantine::part_group part_quarantine::find_most_suspect(const incarnations& explained) const {
-    part_group best;
-    std::pair<bool, int> best_rank;
-    incarnations best_crashes;
+/// Returns the most suspect part, with all parts that the evidence cannot tell from it; nothing if no part is
+/// suspect.
+part_quarantine::quarantined_group
+part_quarantine::find_most_suspect(const server_incarnations& explained) const {
+    quarantined_group best;
+    part_suspicion best_suspicion;
     for (const auto& [part, tracked] : parts_) {
-        const part_evidence& evidence = tracked.evidence;
-        if (int(evidence.crashes.size()) * weight_after_begin < max_weight) {
+        if (int(tracked.evidence.open_crash_count()) * part_suspicion::weight_after_begin <
+            part_suspicion::max_weight) {
             continue; // Most parts are left out here, at little cost.
         }
-        const incarnations crashes = unexplained_crashes(evidence, explained);
-        const int weight = weigh_crashes(evidence, crashes);
-        if (weight < (evidence.was_answered ? max_weight_if_answered : max_weight)) {
+        part_suspicion suspicion = judge(tracked.evidence, explained);
+        if (suspicion.level == suspicion_level::none) {
             continue;
         }
-        const std::pair rank(!evidence.was_answered, weight);
-        if (!best.empty() && rank == best_rank && crashes == best_crashes) {
-            best.insert(part);
-        } else if (best.empty() || rank > best_rank) {
-            best = {part};
-            best_rank = rank;
-            best_crashes = crashes;
+        const auto order = suspicion <=> best_suspicion;
+        if (!best.parts.empty() && order == 0 && suspicion.crashes == best_suspicion.crashes) {
+            best.parts.insert(part);
+        } else if (best.parts.empty() || order > 0) {
+            best = {{part}, suspicion.level, suspicion.in_force_from, suspicion.probe_from};
+            best_suspicion = std::move(suspicion);
         }
     }
     return best;
 }
 
-/// Returns the crashes under a part that no later answer outlived and no other part explains.
-part_quarantine::incarnations part_quarantine::unexplained_crashes(const part_evidence& evidence,
-                                                                   const incarnations& explained) {
-    incarnations servers;
-    for (const auto& [server, crash] : evidence.crashes) {
-        if (!crash.outlived && !explained.contains(server)) {
-            servers.insert(server);
-        }
-    }
-    return servers;
+/// Returns whether an answer has survived that began after all known crashes under a part.
+bool part_quarantine::is_after_answers(const std::string& part) const {
+    const auto it = parts_.find(part);
+    return it != parts_.end() &&
+           std::all_of(it->second.learned_at.begin(), it->second.learned_at.end(),
+                       [&](const auto& each) { return each.second < last_answer_began_at_; });
 }
 
-/// Returns the weight of the crashes of these servers, those at nearly the same moment once.
-int part_quarantine::weigh_crashes(const part_evidence& evidence, const incarnations& servers) {
-    std::vector<std::pair<wall_time, int>> crashes;
-    for (const std::string& server : servers) {
-        const part_evidence::crash& crash = evidence.crashes.at(server);
-        crashes.emplace_back(crash.noted_at, crash.after_begin ? weight_after_begin : weight_before_begin);
-    }
-    std::sort(crashes.begin(), crashes.end());
-    int total = 0;
-    int weight_of_moment = 0;
-    std::optional<wall_time> moment;
-    for (const auto& [at, weight] : crashes) {
-        if (!moment || at - *moment >= simultaneous_crash_time) {
-            moment = at;
-            weight_of_moment = 0;
-        }
-        total += std::max(0, weight - weight_of_moment);
-        weight_of_moment = std::max(weight, weight_of_moment);
-    }
-    return total;
+/// Returns whether nobody else needs to hear of a crash under a part, because answers speak against it.
+bool part_quarantine::is_settled(const part_evidence& evidence, const part_evidence::crash& crash) {
+    return crash.outlived || (crash.survived && evidence.open_crash_count() < min_reported_crashes);
 }
 
 bool part_quarantine::has_crash_older_than(const tracked_part& tracked, milliseconds age, clock_reading now) {
     const auto& crashes = tracked.evidence.crashes;
     return std::any_of(crashes.begin(), crashes.end(), [&](const auto& each) {
-        return !each.second.outlived && now.steady - tracked.learned_at.at(each.first) >= age;
+        return !is_settled(tracked.evidence, each.second) &&
+               now.steady - tracked.learned_at.at(each.first) >= age;
     });
 }
 
@@ -305,8 +345,8 @@
     return std::any_of(crashes.begin(), crashes.end(), [&](const auto& each) {
         const auto& [server, crash] = each;
         const bool is_stored = stored != nullptr && stored->crashes.contains(server);
-        if (crash.outlived) {
-            return is_stored && !stored->crashes.at(server).outlived;
+        if (is_settled(tracked.evidence, crash)) {
+            return is_stored && crash.outlived && !stored->crashes.at(server).outlived;
         }
         const bool is_ripe = now.steady - tracked.learned_at.at(server) >= store_delay;
         return !is_stored && (is_ripe || is_culprit);
--- a/src/quarantine/part_quarantine.h
+++ b/src/quarantine/part_quarantine.h
@@ -5,6 +5,8 @@
 
 #include "quarantine/clock_reading.h"
 #include "quarantine/part_evidence.h"
+#include "quarantine/part_suspicion.h"
+#include "quarantine/probe_schedule.h"
 #include "quarantine/recent_parts.h"
 
 #include <chrono>
@@ -19,14 +21,16 @@
 
 /// A request that a server was running when it crashed.
 struct interrupted_request {
-    std::vector<std::string> parts; ///< Shared parts of its prompt.
-    bool after_begin = false;       ///< Whether the server had begun to answer it.
+    std::vector<std::string> parts;           ///< Shared parts of its prompt.
+    bool after_begin = false;                 ///< Whether the server had begun to answer it.
+    std::chrono::milliseconds written_for{0}; ///< Time for which the server had been writing events.
 };
 
 /// A prompt part in quarantine.
 struct quarantined_part {
     std::string part;
-    std::chrono::milliseconds time_left{0}; ///< Time until the quarantine ends.
+    std::chrono::milliseconds time_left{0}; ///< Time after which a request may be served.
+    bool may_be_probed = false; ///< Whether single requests may still find out that the part is harmless.
 };
 
 /// Collects evidence about prompt parts and puts a part into quarantine once it has crashed several servers
@@ -34,11 +38,14 @@
 ///
 /// A crash tells little by itself: it ends all requests of the server, and a part that most requests share is
 /// among them each time. But such a part is soon answered elsewhere, and a part that crashes servers never
-/// is. So a crash counts against a part until a request with it that began after the crash is answered, and a
-/// part that was answered before needs more crashes. Crashes at nearly the same moment count once, because
-/// one cause may end many servers, as a power cut does. A request that was still waiting for its turn on the
-/// server counts for three fifths of one whose answer had begun. A part in quarantine explains its crashes,
-/// so they do not count against other parts.
+/// is. So a crash counts against a part until a request with it whose answer began after the crash is
+/// answered whole, or for longer than any answer that the crash broke off. A part that was answered before
+/// needs more crashes. `part_suspicion` tells how crashes are weighed. A part in quarantine explains its
+/// crashes, so they do not count against other parts.
+///
+/// Where the crashes may have had another cause, as when all servers lose power at once, nothing would ever
+/// end the quarantine of a harmless part. So the routers take turns to send one request with it to a server.
+/// If that crashes servers too, the cause is proven.
 ///
 /// All routers share their evidence. Which parts are in quarantine follows from the evidence alone, so all
 /// routers come to the same decision, and a part is released once later evidence explains its crashes by
@@ -48,20 +55,11 @@
     using steady_time = std::chrono::steady_clock::time_point;
     using milliseconds = std::chrono::milliseconds;
 
-    /// Weight of a crash of a server that had begun to answer a request with the part.
-    static constexpr int weight_after_begin = 5;
-    /// Weight of a crash of a server on which such a request was still waiting.
-    static constexpr int weight_before_begin = 3;
-    /// Weight of the crashes after which a part that was never answered is in quarantine: three of the
-    /// heavier ones, or five of the lighter ones.
-    static constexpr int max_weight = 3 * weight_after_begin;
-    static_assert(5 * weight_before_begin >= max_weight);
-    /// Weight of the crashes after which a part that was answered before them is in quarantine.
-    static constexpr int max_weight_if_answered = 5 * weight_after_begin;
-    /// Crashes within this time of a counted one are not counted.
-    static constexpr milliseconds simultaneous_crash_time{100};
-    /// Time for which a request must be answered before it shows that its parts are harmless.
+    /// Time for which an answer must go on, beyond that of the answers that a crash broke off, before it
+    /// speaks for its parts.
     static constexpr milliseconds survival_time{300};
+    /// A single crash under a part is not reported to others once another answer has survived; more are.
+    static constexpr std::size_t min_reported_crashes = 2;
     /// Time from the last crash under a part to the end of its quarantine.
     static constexpr std::chrono::minutes quarantine_time{60};
     /// Time after which a crash that led to no quarantine is forgotten.
@@ -92,9 +90,16 @@
     void note_crash(const std::string& incarnation, const std::vector<interrupted_request>& requests,
                     clock_reading now);
 
-    /// Notes that a request with these shared parts, whose answer began at `began_at`, was answered whole or
-    /// for the survival time.
-    void note_survival(const std::vector<std::string>& parts, steady_time began_at, clock_reading now);
+    /// Notes that a request with these shared parts, whose answer began at `began_at`, was answered whole.
+    void note_answer(const std::vector<std::string>& parts, steady_time began_at, clock_reading now);
+
+    /// Notes that the answer to a request with these shared parts, which began at `began_at`, goes on.
+    void note_progress(const std::vector<std::string>& parts, steady_time began_at, clock_reading now);
+
+    /// Sets the addresses of this router and of the others, which take turns to probe suspect parts.
+    void set_routers(std::string own, std::vector<std::string> others) {
+        probes_.set_routers(std::move(own), std::move(others));
+    }
 
     /// Adds the evidence of another router or of the store.
     void merge(const evidence_by_part& evidence, clock_reading now);
@@ -103,6 +108,13 @@
     std::optional<quarantined_part> find_quarantined(const std::vector<std::string>& parts,
                                                      clock_reading now) const;
 
+    /// Returns whether a request with these shared parts may be sent to one server although it must be kept
+    /// back, in order to find out whether they are harmless. Such a request must not be sent again.
+    bool take_probe(const std::vector<std::string>& parts, clock_reading now);
+
+    /// Gives back a probe that was not sent, so that another request can take it in the same turn.
+    void return_probe(const std::vector<std::string>& parts);
+
     /// Returns the evidence that the other routers should get and have not got yet from this one, and counts
     /// it as sent.
     evidence_by_part take_notices(clock_reading now);
@@ -127,21 +139,31 @@
         std::map<std::string, steady_time> learned_at; ///< When this router learned of each crash.
         bool has_unsent_change = false;
         bool was_sent = false; ///< Whether other routers have evidence about the part from this one.
+        std::int64_t last_probe_turn = 0; ///< Number of the turn in which this router last sent a probe.
     };
     using tracked_parts = std::map<std::string, tracked_part>;
-    using incarnations = std::set<std::string>;
+
+    /// Parts in quarantine. Only requests with all of them are kept back.
+    struct quarantined_group {
+        part_group parts;
+        suspicion_level level = suspicion_level::none;
+        part_evidence::wall_time in_force_from{};
+        part_evidence::wall_time probe_from{};
+    };
 
     void add(const evidence_by_part& evidence, bool is_own, clock_reading now);
     tracked_part& find_or_add(const std::string& part);
     void remove_least_suspect();
     void remove_expired(clock_reading now);
     void decide();
-    void report_changes(const std::vector<part_group>& before) const;
+    void note_survival(const std::string& part, steady_time began_at, bool whole, clock_reading now);
+    void report_changes(const std::vector<quarantined_group>& before) const;
     evidence_by_part evidence_of(const part_group& group) const;
-    part_group find_most_suspect(const incarnations& explained) const;
-    static incarnations unexplained_crashes(const part_evidence& evidence, const incarnations& explained);
-    static int weigh_crashes(const part_evidence& evidence, const incarnations& servers);
+    quarantined_group find_most_suspect(const server_incarnations& explained) const;
+    const quarantined_group* find_group(const std::vector<std::string>& parts, clock_reading now) const;
     bool is_quarantined(const std::string& part) const;
+    bool is_after_answers(const std::string& part) const;
+    static bool is_settled(const part_evidence& evidence, const part_evidence::crash& crash);
     static bool has_crash_older_than(const tracked_part& tracked, milliseconds age, clock_reading now);
     bool needs_store_update(const std::string& part, const tracked_part& tracked, const part_evidence* stored,
                             clock_reading now) const;
@@ -149,9 +171,10 @@
     change_callback on_change_;
     tracked_parts parts_;
 
-    /// Parts in quarantine. Only requests with all parts of a group are kept back.
-    std::vector<part_group> quarantined_;
-    recent_parts answered_; ///< Parts of requests that this router saw answered.
+    std::vector<quarantined_group> quarantined_;
+    recent_parts answered_;              ///< Parts of requests that this router saw answered whole.
+    steady_time last_answer_began_at_{}; ///< Latest begin of an answer that survived.
+    probe_schedule probes_;
 };
 
 } // namespace eelgrassgw
--- a/test/gateway/part_quarantine_test.cpp
+++ b/test/gateway/part_quarantine_test.cpp
@@ -33,7 +33,7 @@
         advance(10ms);
         const auto began_at = now.steady;
         advance(20ms);
-        router.quarantine.note_survival(parts, began_at, now);
+        router.quarantine.note_answer(parts, began_at, now);
     }
 
     clock_reading now = clock_reading::now();
@@ -68,7 +68,7 @@
         advance(10ms);
         crash("s" + std::to_string(i));
         advance(1s);
-        router.quarantine.note_survival(deadly_request, began_at, now);
+        router.quarantine.note_answer(deadly_request, began_at, now);
     }
     EXPECT_TRUE(router.rejects(deadly_request, now));
 }
@@ -318,7 +318,11 @@
         for (part_evidence& each : views) {
             for (unsigned i = 0; i < 3; ++i) {
                 const std::string server = "s" + std::to_string(random() % 4);
-                each.crashes[server] = {start + milliseconds(random() % 9), random() % 2 == 0,
+                each.crashes[server] = {start + milliseconds(random() % 9),
+                                        random() % 2 == 0,
+                                        milliseconds(random() % 9),
+                                        random() % 2 == 0,
+                                        random() % 2 == 0,
                                         random() % 2 == 0};
             }
             each.was_answered = random() % 2 == 0;
--- a/test/gateway/quarantine_test.cpp
+++ b/test/gateway/quarantine_test.cpp
@@ -1,6 +1,7 @@
 /// Tests that a prompt part under which backend servers crash is kept from the others, and that requests that
 /// share everything else with it are served.
 
+#include "event_stream.h"
 #include "gateway_fixture.h"
 
 namespace eelgrassgw {
@@ -37,12 +38,13 @@
         co_await e.end();
     }
 
-    /// Returns the bytes of a request whose prompt has this second part between shared and own ones.
-    static std::string prompt_request(const std::string& part) {
+    /// Returns the bytes of a request whose prompt has this second part between shared and own ones. Requests
+    /// with the same third part go to the same server.
+    static std::string prompt_request(const std::string& part, const std::string& third_part = "e0") {
         static int n = 0;
         return request("POST", "/ask/",
-                       "Model: m\r\nToken-Counts: 100,12\r\nPrompt-Prefix: f1257:40," + part + ":40,e0:10,0" +
-                           std::to_string(++n) + ":10\r\n",
+                       "Model: m\r\nToken-Counts: 100,12\r\nPrompt-Prefix: f1257:40," + part + ":40," +
+                           third_part + ":10,0" + std::to_string(++n) + ":10\r\n",
                        "prompt text");
     }
 
@@ -137,5 +139,98 @@
     });
 }
 
+/// Has requests with the deadly part come in pairs, on a route that sends an interrupted request once more.
+class retried_quarantine_test : public quarantine_test {
+protected:
+    static constexpr std::chrono::milliseconds contact_time{3000};
+    static constexpr std::size_t max_requests_after_bound = 3;
+
+    void SetUp() override {
+        settings.notice_listen = next_loopback_address();
+        configure({{"/ask/", "streaming", "models", 2, 3000, true, true}}, 1, 1000000);
+        constexpr int servers = 16;
+        for (int i = 0; i < servers; ++i) {
+            const std::string id = "s" + std::to_string(i);
+            add_backend(id, "models", [this, i, id](backend_exchange& e) -> task<void> {
+                co_await answer_or_crash_later(e, id, *backends.at(i));
+            });
+        }
+    }
+
+    /// Streams two events, or ends the server as a crash would once it has written deadly events for
+    /// `written_for`.
+    task<void> answer_or_crash_later(backend_exchange& e, std::string id, scripted_backend& server) {
+        const bool deadly = e.header("Prompt-Prefix").find(deadly_part) != std::string::npos;
+        co_await sleep_for(75ms);
+        if (!deadly || written_for > 0ms) {
+            co_await e.start_stream();
+        }
+        const auto began_at = std::chrono::steady_clock::now();
+        int event_id = next_event_id(e.header("Last-Event-Id"));
+        while (deadly && std::chrono::steady_clock::now() - began_at < written_for) {
+            co_await e.piece(event(event_id++));
+            co_await sleep_for(20ms);
+        }
+        if (deadly) {
+            ++crashes;
+            server.stop_listening();
+            store.remove("servers", id);
+            e.break_off(false);
+            co_return;
+        }
+        co_await e.piece(events(event_id, event_id + 1));
+        co_await e.end();
+    }
+
+    /// Sends two requests with the deadly part together, and then a sound one.
+    task<void> send_pair() {
+        int running = 2;
+        for (int i = 0; i < 2; ++i) {
+            asio::co_spawn(
+                context,
+                [this, &running, i]() -> task<void> {
+                    co_await call(prompt_request(deadly_part, "e" + std::to_string(i)));
+                    --running;
+                },
+                asio::detached);
+        }
+        while (running > 0) {
+            co_await sleep_for(10ms);
+        }
+        co_await sleep_for(300ms);
+        const auto answer = co_await call(prompt_request("50d"));
+        EXPECT_EQ(200U, answer ? answer->result_int() : 0);
+        co_await sleep_for(500ms);
+    }
+
+    /// Sends pairs until five servers have crashed, and counts what reaches servers after the bound.
+    task<void> expect_quarantine_in_time() {
+        while (crashes < 5) {
+            co_await send_pair();
+        }
+        co_await sleep_for(contact_time);
+        const std::size_t before = deadly_requests_at_servers();
+        for (int i = 0; i < 4; ++i) {
+            co_await send_pair();
+        }
+        EXPECT_LE(deadly_requests_at_servers() - before, max_requests_after_bound);
+    }
+
+    std::chrono::milliseconds written_for{0}; ///< Time for which servers write before they crash.
+    int crashes = 0;
+};
+
+// Guards against crashes that count as one because the router sends a deadly request to the next server at
+// once.
+TEST_F(retried_quarantine_test, part_of_requests_that_come_together_is_kept_from_servers) {
+    run([&]() -> task<void> { co_await expect_quarantine_in_time(); });
+}
+
+// Guards against answers that count as harmless because the server writes for a while before it crashes.
+TEST_F(retried_quarantine_test, part_under_which_servers_write_for_a_while_is_kept_from_servers) {
+    written_for = 400ms;
+    run([&]() -> task<void> { co_await expect_quarantine_in_time(); });
+}
+
 } // namespace
 } // namespace eelgrassgw
