Store: an entry that cannot be read costs that entry only

What callers would see: another writer leaves one entry among those of the engines that is nested 1,000 levels deep, or holds a number that no double holds. Routers that start are never ready; those that run follow no further change, so engines that come are not used and those that left are.

Cause: a page of a list, or the answer to a watch, was parsed as one document, which failed as a whole, again and again.

The same class in evidence about prompt parts (one malformed part made all be rejected; a time of 10^18 ms overflowed), in notices about long prompts, and in the older interface's object lists, whose numbers were converted unchecked.

--- a/src/journal/journal_segment.cpp
+++ b/src/journal/journal_segment.cpp
@@ -66,9 +66,7 @@
     for (const Json::Value& record : member(document.value(), "records")) {
         segment.records.push_back(billing_record::from_json(record));
     }
-    for (const Json::Value& agent : member(document.value(), "lost_agents")) {
-        segment.lost_agents.push_back(agent.asString());
-    }
+    segment.lost_agents = string_elements(member(document.value(), "lost_agents"));
     return segment;
 }
 
--- a/src/placing/prompt_notices.cpp
+++ b/src/placing/prompt_notices.cpp
@@ -32,9 +32,10 @@
     const std::string from = string_member(notice, "from");
     const std::string server = string_member(notice, "server");
     const std::int64_t tokens = int_member(notice, "tokens", -1);
-    if (from.empty() || server.empty() || tokens < 0) {
+    if (from.empty() || server.empty() || tokens < 0 || tokens > max_announced_tokens) {
         return make_failure(errc::malformed, "parse prompt notice", from,
-                            "field \"from\" or \"server\" is missing, or \"tokens\" is not a number from 0");
+                            "field \"from\" or \"server\" is missing, or \"tokens\" is no number from 0 to "
+                            "the largest prompt");
     }
     const auto tracked = directory_.find(server);
     if (tracked == nullptr || from == router_) {
--- a/src/placing/prompt_notices.h
+++ b/src/placing/prompt_notices.h
@@ -22,6 +22,9 @@
     /// Size from which a prompt is announced; shorter prompts cause no noticeable delay.
     static constexpr std::int64_t min_announced_tokens = 4000;
 
+    /// Size beyond which a notice is not credible. The sum of many such prompts still fits a counter.
+    static constexpr std::int64_t max_announced_tokens = 1'000'000'000;
+
     /// Time after which a received notice expires.
     static constexpr std::chrono::milliseconds notice_lifetime{2500};
 
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -41,10 +41,18 @@
         return make_failure(errc::outcome_unknown, "read object list", api.text(), body.error().message);
     }
     object_changes changes;
-    changes.store_version = member(body.value(), "store_version").asUInt64();
+    const Json::Value& store_version = member(body.value(), "store_version");
+    if (!store_version.isUInt64()) {
+        return make_failure(errc::outcome_unknown, "read object list", api.text(),
+                            "field \"store_version\" is not a whole number from 0");
+    }
+    changes.store_version = store_version.asUInt64();
     for (const Json::Value& entry : member(body.value(), "objects")) {
-        changes.changed.push_back({string_member(entry, "key"), member(entry, "version").asUInt64(),
-                                   string_member(entry, "value")});
+        const Json::Value& version = member(entry, "version");
+        if (version.isUInt64()) { // An object without a version cannot be ordered among its changes.
+            changes.changed.push_back(
+                {string_member(entry, "key"), version.asUInt64(), string_member(entry, "value")});
+        }
     }
     return changes;
 }
--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -3,6 +3,8 @@
 #include "eelgrassgw/base/json.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 
 namespace eelgrassgw {
 
@@ -53,7 +55,18 @@
     return document;
 }
 
-part_evidence::crash parse_crash(const Json::Value& document) {
+/// Parses a crash; nothing if a time is missing or is none that a clock shows.
+std::optional<part_evidence::crash> parse_crash(const Json::Value& document) {
+    constexpr std::int64_t max_unix_ms = 4'102'444'800'000; // The year 2100; later times overflow the clock.
+    for (const char* name : {"noted_ms", "written_ms"}) {
+        const std::int64_t ms = int_member(document, name);
+        if (ms < 0 || ms > max_unix_ms) {
+            return std::nullopt;
+        }
+    }
+    if (!member(document, "noted_ms").isInt64()) {
+        return std::nullopt;
+    }
     part_evidence::crash crash;
     crash.noted_at = time_member(document, "noted_ms");
     crash.after_begin = bool_member(document, "after_begin");
@@ -102,13 +115,14 @@
     for (const std::string& part : document.getMemberNames()) {
         const Json::Value& crashes = member(document[part], "crashes");
         if (!document[part].isObject() || !(crashes.isNull() || crashes.isObject())) {
-            return make_failure(errc::malformed, "parse crash evidence", "",
-                                "prompt part \"" + part + "\" is not an object with crashes by server");
+            continue; // The others hold.
         }
         part_evidence& known = evidence[part];
         known.was_answered = bool_member(document[part], "was_answered");
         for (const std::string& server : crashes.getMemberNames()) {
-            known.crashes[server] = parse_crash(crashes[server]);
+            if (const auto crash = parse_crash(crashes[server])) {
+                known.crashes[server] = *crash;
+            }
         }
     }
     return evidence;
--- a/test/gateway/platform_store_stand_in.cpp
+++ b/test/gateway/platform_store_stand_in.cpp
@@ -10,6 +10,11 @@
 
 constexpr std::chrono::hours forever{1};
 
+/// Returns the spec that is kept in place of a text.
+std::string placeholder(std::size_t text_index) {
+    return "spec text " + std::to_string(text_index) + ".";
+}
+
 text_reply json_reply(http::status status, const Json::Value& body) {
     return make_reply(status, "application/json", to_text(body));
 }
@@ -40,6 +45,22 @@
     store(kind, name, spec);
 }
 
+void platform_store_stand_in::put_text(const std::string& kind, const std::string& name, std::string spec) {
+    store(kind, name, placeholder(spec_texts_.size()));
+    spec_texts_.push_back(std::move(spec));
+}
+
+/// Replaces the placeholders in the body of an answer by the texts that they stand for.
+void platform_store_stand_in::insert_texts(std::string& body) const {
+    for (std::size_t i = 0; i < spec_texts_.size(); ++i) {
+        const std::string quoted = "\"" + placeholder(i) + "\"";
+        for (std::size_t at = body.find(quoted); at != std::string::npos; at = body.find(quoted, at)) {
+            body.replace(at, quoted.size(), spec_texts_[i]);
+            at += spec_texts_[i].size();
+        }
+    }
+}
+
 void platform_store_stand_in::remove(const std::string& kind, const std::string& name) {
     Json::Value object = now_.kinds[kind][name];
     object["metadata"]["revision"] = Json::UInt64(++now_.revision);
@@ -78,6 +99,8 @@
 task<text_reply> platform_store_stand_in::answer(text_request request) {
     const std::uint64_t era = era_; // A late answer states the era in which it was made.
     text_reply reply = co_await answer_without_era(std::move(request));
+    insert_texts(reply.body());
+    reply.prepare_payload();
     reply.set("Store-Era", std::to_string(era));
     co_return reply;
 }
--- a/test/gateway/platform_store_stand_in.h
+++ b/test/gateway/platform_store_stand_in.h
@@ -24,6 +24,9 @@
     /// Creates or replaces an object, as an operator or a backend server would.
     void put(const std::string& kind, const std::string& name, const Json::Value& spec);
 
+    /// Writes an object whose spec is this text, which need not be one that a parser accepts.
+    void put_text(const std::string& kind, const std::string& name, std::string spec);
+
     /// Removes an object. Precondition: the object exists.
     void remove(const std::string& kind, const std::string& name);
 
@@ -68,7 +71,10 @@
                      bool create);
     Json::Value store(const std::string& kind, const std::string& name, const Json::Value& spec);
 
+    void insert_texts(std::string& body) const;
+
     std::string address_;
+    std::vector<std::string> spec_texts_; ///< Texts of `put_text`, whose index is in the spec that is kept.
     std::uint64_t era_ = 1;
     contents now_;
     contents copy_;
--- a/test/gateway/prompt_notices_test.cpp
+++ b/test/gateway/prompt_notices_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <limits>
 #include <random>
 
 namespace eelgrassgw {
@@ -73,6 +74,10 @@
 TEST_F(prompt_notices_test, malformed_notices_are_rejected) {
     EXPECT_FALSE(handle("bytes").ok());
     EXPECT_FALSE(handle(R"({"from":"other","server":"s1","tokens":-5})").ok());
+    EXPECT_FALSE(handle(notice(1, std::numeric_limits<std::int64_t>::max())).ok());
+    EXPECT_FALSE(handle(R"({"from":"other","server":"s1","tokens":1e999})").ok());
+    EXPECT_FALSE(handle(std::string(4000, '[') + std::string(4000, ']')).ok());
+    EXPECT_EQ(0, unread());
     EXPECT_EQ(0, unread());
 }
 
