Only a refusal that belongs to a request proves that it was not run

What callers saw: 503 or 429 for bookings and streams that an engine ran (REFUSED), or a second run (TWICE), where an engine writes an earlier refusal once more on a kept connection, or refuses by itself without saying that it has not run the request.

Cause: an answer without an id counted as that of the current request, and each failure was passed on with its status, which callers read as a promise.

Each attempt logs its status, what the connection carried before, and what was skipped, which tells the hypotheses about the users' REFUSED apart.

--- a/src/gateway/backend_reply.cpp
+++ b/src/gateway/backend_reply.cpp
@@ -51,7 +51,9 @@
         if (kind != answer_kind::other_request) {
             co_return kind;
         }
-        skipped_foreign_reply_ = skipped_foreign_reply_ || !interim;
+        if (!interim) {
+            skipped_statuses_.push_back(head().result_int());
+        }
         if (!co_await skip_body()) {
             co_return answer_kind::invalid;
         }
@@ -113,7 +115,7 @@
 
 std::chrono::milliseconds backend_reply::reuse_time() const {
     const bool clean = parser_->is_done() && parser_->keep_alive() && upstream_.buffer.size() == 0;
-    if (!clean || skipped_foreign_reply_) {
+    if (!clean || !skipped_statuses_.empty()) {
         return std::chrono::milliseconds(0);
     }
     const auto text = head()[http::field::keep_alive];
--- a/src/gateway/backend_reply.h
+++ b/src/gateway/backend_reply.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace eelgrassgw {
 
@@ -62,6 +63,9 @@
     /// Returns whether the connection ended, in any way, before the reply was complete.
     bool connection_lost() const { return connection_lost_; }
 
+    /// Returns the HTTP statuses of the replies to other requests that were skipped.
+    const std::vector<unsigned>& skipped_statuses() const { return skipped_statuses_; }
+
     /// Returns the cause of the last failure; empty if nothing failed.
     const std::string& error() const { return error_; }
 
@@ -77,7 +81,7 @@
 
     connection& upstream_;
     bool head_only_;
-    bool skipped_foreign_reply_ = false;
+    std::vector<unsigned> skipped_statuses_;
     bool connection_lost_ = false;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, piece_bytes> piece_buffer_{};
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -27,10 +27,11 @@
 template <class T>
 concept caller_protocol = requires(const T protocol, const text_request& request, const request_terms& terms,
                                    const backend_request_metadata& metadata,
-                                   const http::response_header<>& head, text_reply& own) {
+                                   const http::response_header<>& head, connection_history history,
+                                   text_reply& own) {
     { protocol.decode(request) } -> std::same_as<result<request_terms>>;
     { protocol.make_backend_request(request, terms, metadata) } -> std::same_as<text_request>;
-    { protocol.classify_reply(head, terms) } -> std::same_as<answer_kind>;
+    { protocol.classify_reply(head, terms, history) } -> std::same_as<answer_kind>;
     { protocol.read_server_notice(head) } -> std::same_as<server_notice>;
     {protocol.add_request_id(own, terms)};
     { protocol.make_caller_head(head) } -> std::same_as<http::response_header<>>;
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -57,19 +57,26 @@
     metadata.urgency = customer_ != nullptr && customer_->priority ? *customer_->priority : route_->priority;
     metadata.last_event_id = splitter_.last_id();
     text_request outgoing = core_.protocol.make_backend_request(request_, terms_, metadata);
+    const connection_history history =
+        upstream.requests_sent == 0 ? connection_history::first_request : connection_history::reused;
+    attempt_fields_["earlier_requests"] = upstream.requests_sent++;
     net_error ec;
     co_await http::async_write(upstream.socket, outgoing, with_error(ec));
     // A server may answer before it has read the whole request, so a failed write does not end the attempt.
     backend_reply reply(upstream, request_.method() == http::verb::head);
-    const backend_reply::head_classifier classify = [this](const reply_head& head) {
-        return core_.protocol.classify_reply(head, terms_);
+    const backend_reply::head_classifier classify = [this, history](const reply_head& head) {
+        return core_.protocol.classify_reply(head, terms_, history);
     };
     const answer_kind kind = co_await reply.read_head(classify);
+    log_reply(reply);
     if (reply.has_head()) {
         note_server_notice(*server, reply.head());
     }
     if (kind == answer_kind::invalid) {
-        error_ = ec ? "send to " + upstream.peer + ": " + ec.message() : reply.error();
+        error_ = ec ? "send to " + upstream.peer + ": " + ec.message()
+                 : reply.error().empty()
+                     ? "the reply's head is not one that a server may send for the request"
+                     : reply.error();
         progress_.connection_lost = reply.connection_lost();
         avoid_server(*server, avoid_invalid_answer_time);
         co_return control_.cancelled() ? attempt_outcome::cancelled : attempt_outcome::invalid_answer;
@@ -110,11 +117,23 @@
         control_.detach_upstream();
         auto idle = std::make_unique<connection>(std::move(upstream.socket));
         idle->peer = upstream.peer;
+        idle->requests_sent = upstream.requests_sent;
         core_.pool.keep(std::move(idle), reuse_time);
     }
     co_return outcome;
 }
 
+/// Adds the status of the reply to the log, and those of the replies to other requests before it.
+template <class Core>
+void exchange<Core>::log_reply(const backend_reply& reply) {
+    if (reply.has_head()) {
+        attempt_fields_["status"] = reply.head().result_int();
+    }
+    for (const unsigned status : reply.skipped_statuses()) {
+        attempt_fields_["skipped_statuses"].append(status);
+    }
+}
+
 /// Applies what the server states about itself in the head of an answer.
 template <class Core>
 void exchange<Core>::note_server_notice(tracked_backend& server, const reply_head& head) {
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -53,6 +53,12 @@
     std::optional<std::chrono::milliseconds> pause;
 };
 
+/// Whether an answer that names no request can only belong to the request that was sent.
+enum class connection_history {
+    first_request, ///< The request is the first one on its connection.
+    reused,        ///< Bytes may still arrive that belong to an earlier request.
+};
+
 /// Classification of a backend server's answer by its head.
 enum class answer_kind {
     success,       ///< A genuine answer to this request.
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -30,6 +30,7 @@
     boost::beast::flat_buffer buffer{max_unparsed_bytes}; ///< Bytes that were read but not parsed yet.
     std::string peer;                                     ///< Address of the server (IP:port).
     clock::time_point keep_until{};                       ///< Time at which an idle connection expires.
+    int requests_sent = 0; ///< Number of callers' requests that were sent on the connection.
 };
 
 /// Opens connections and reuses idle ones. Not thread-safe: all tasks run on one thread.
--- a/test/gateway/leaving_server_test.cpp
+++ b/test/gateway/leaving_server_test.cpp
@@ -18,8 +18,9 @@
 /// Returns a script that declines each request and asks for a pause with this Retry-After value.
 scripted_backend::script_type pausing(std::string retry_after) {
     return [retry_after](backend_exchange& e) -> task<void> {
-        co_await e.write("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: " +
-                         retry_after + "\r\nContent-Length: 0\r\n\r\n");
+        co_await e.write("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + e.header("Attempt-Id") +
+                         "\r\nNot-Executed: 1\r\nRetry-After: " + retry_after +
+                         "\r\nContent-Length: 0\r\n\r\n");
     };
 }
 
--- a/test/gateway/scripted_backend.h
+++ b/test/gateway/scripted_backend.h
@@ -23,8 +23,11 @@
 /// A request that the server received, and the connection on which to answer it.
 class backend_exchange {
 public:
-    backend_exchange(tcp::socket& socket, text_request request)
-        : socket_(socket), request_(std::move(request)) {}
+    backend_exchange(tcp::socket& socket, text_request request, bool is_first)
+        : socket_(socket), request_(std::move(request)), is_first_(is_first) {}
+
+    /// Returns whether the request is the first one on its connection.
+    bool is_first_on_connection() const { return is_first_; }
 
     const text_request& request() const { return request_; }
     std::string header(const std::string& name) const { return std::string(request_[name]); }
@@ -65,7 +68,8 @@
 
     /// Writes an answer which states that the request was not run.
     task<void> decline() {
-        co_await write("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        co_await write("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + header("Attempt-Id") +
+                       "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     }
 
     /// Closes the connection. With `reset`, the other side sees a connection reset.
@@ -102,6 +106,7 @@
 private:
     tcp::socket& socket_;
     text_request request_;
+    bool is_first_;
 };
 
 /// Serves each request by running a script. Not thread-safe.
@@ -149,14 +154,14 @@
                             std::shared_ptr<std::vector<text_request>> arrived) {
         boost::beast::flat_buffer buffer;
         net_error ec;
-        while (!ec && socket.is_open()) {
+        for (bool is_first = true; !ec && socket.is_open(); is_first = false) {
             text_request request;
             co_await http::async_read(socket, buffer, request, with_error(ec));
             if (ec) {
                 break;
             }
             arrived->push_back(request);
-            backend_exchange current(socket, request);
+            backend_exchange current(socket, request, is_first);
             co_await (*script)(current);
         }
     }
