A resumed stream is continued by an event stream only

What callers could see: a stream breaks off, the next engine answers 200 with another content type, and its text stands in the middle of the stream, which then ends as if it were complete.

Change: once an answer has begun, a success that declares another content type than an event stream is invalid, and the stream is broken off or resumed elsewhere.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -119,6 +119,7 @@
     void note_broken_answer(const tracked_backend& server) const;
     void note_server_notice(tracked_backend& server, const reply_head& head);
     void log_reply(const backend_reply& reply);
+    bool can_continue_answer(const reply_head& head) const;
     void avoid_server(tracked_backend& server, milliseconds duration) {
         server.avoid_until = clock::now() + duration;
     }
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -81,6 +81,11 @@
         avoid_server(*server, avoid_invalid_answer_time);
         co_return control_.cancelled() ? attempt_outcome::cancelled : attempt_outcome::invalid_answer;
     }
+    if (kind == answer_kind::success && !can_continue_answer(reply.head())) {
+        error_ = "the server that was asked to resume the stream answered with another content type";
+        avoid_server(*server, avoid_invalid_answer_time);
+        co_return attempt_outcome::invalid_answer;
+    }
     co_return co_await forward_answer(*server, upstream, reply, kind);
 }
 
@@ -123,6 +128,13 @@
     co_return outcome;
 }
 
+/// Returns whether the body of a success can go to the caller. Once a stream has begun, only events can.
+template <class Core>
+bool exchange<Core>::can_continue_answer(const reply_head& head) const {
+    const auto type = head[http::field::content_type];
+    return !answer_.started() || type.empty() || type.starts_with("text/event-stream");
+}
+
 /// Adds the status of the reply to the log, and those of the replies to other requests before it.
 template <class Core>
 void exchange<Core>::log_reply(const backend_reply& reply) {
