Soak: late refusals, errors after a broken stream, odd entries, deadly requests that are sent again

Engines now write an earlier refusal without an id before 3 in 100 of their answers on kept connections, answer a quarter of all resumed streams with a 500 whose body looks like an event, half of the deadly requests come on the route that sends them again, and unreadable entries are left among those of the engines.

--- a/test/soak/soak_backend.cpp
+++ b/test/soak/soak_backend.cpp
@@ -1,5 +1,7 @@
 #include "soak_backend.h"
 
+#include <array>
+
 namespace eelgrassgw {
 
 using namespace std::chrono_literals;
@@ -21,13 +23,17 @@
 task<void> soak_backend::serve(backend_exchange& exchange) {
     const std::string attempt_id = exchange.header("Attempt-Id");
     if (exchange.header("Expect-Instance") != id) {
-        co_await exchange.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+        co_await exchange.write("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + attempt_id +
+                                "\r\nContent-Length: 0\r\n\r\n");
         co_return;
     }
     if (state_->draw_failure(4)) {
         co_await exchange.decline();
         co_return;
     }
+    if (!exchange.is_first_on_connection() && state_->draw_late_refusal()) {
+        co_await exchange.write(make_late_refusal());
+    }
     ++state_->runs[attempt_id];
     co_await sleep_for(std::chrono::milliseconds(2 + state_->random() % 25));
     if (state_->draw_failure(4)) {
@@ -41,6 +47,15 @@
     co_await answer_plain_request(exchange);
 }
 
+/// Returns a refusal that names no request, as a faulty server writes it once more on a kept connection.
+std::string soak_backend::make_late_refusal() {
+    constexpr std::array refusals = {"503 Service Unavailable\r\nNot-Executed: 1",
+                                     "421 Misdirected Request\r\nInstance-Id: other",
+                                     "408 Request Timeout\r\nConnection: keep-alive"};
+    const std::string refusal = refusals.at(state_->random_framing() % refusals.size());
+    return "HTTP/1.1 " + refusal + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 task<void> soak_backend::answer_plain_request(backend_exchange& exchange) {
     const std::string body = make_plain_answer(exchange.header("Attempt-Id"));
     if (!draw_unframed()) {
@@ -63,6 +78,10 @@
     const std::string attempt_id = exchange.header("Attempt-Id");
     const std::string last_event_id = exchange.header("Last-Event-Id");
     const bool unframed = draw_unframed();
+    if (!last_event_id.empty() && state_->draw_error_after_break()) {
+        co_await exchange.answer(500, "data: the server failed\n\n");
+        co_return;
+    }
     if (unframed) {
         co_await exchange.write(exchange.genuine_head(200) + "Connection: close\r\n\r\n");
     } else {
--- a/test/soak/soak_backend.h
+++ b/test/soak/soak_backend.h
@@ -17,7 +17,7 @@
 struct soak_state {
     std::map<std::string, int> runs; ///< Number of runs by the id of the caller's attempt.
     std::mt19937 random;             ///< Source of all random choices of the backend servers.
-    std::mt19937 random_framing;     ///< Source of the choice how answers are framed.
+    std::mt19937 random_framing;     ///< Source of the choices how answers are framed and what precedes them.
     bool failures_disabled = false;  ///< True if the backend servers no longer inject failures.
 
     /// Number of requests with the deadly part that servers began to answer, each of which ended its server.
@@ -25,6 +25,12 @@
 
     /// Returns true with a probability of `percent`, or false if failures are disabled.
     bool draw_failure(unsigned percent) { return !failures_disabled && random() % 100 < percent; }
+
+    /// Returns whether a server writes an earlier refusal once more before its answer.
+    bool draw_late_refusal() { return !failures_disabled && random_framing() % 100 < 3; }
+
+    /// Returns whether a server answers a resumed stream with an error.
+    bool draw_error_after_break() { return !failures_disabled && random_framing() % 100 < 25; }
 };
 
 /// Returns the body with which every server answers a plain request.
@@ -56,6 +62,7 @@
 private:
     task<void> serve(backend_exchange& exchange);
     task<void> serve_stream(backend_exchange& exchange);
+    std::string make_late_refusal();
     task<void> answer_plain_request(backend_exchange& exchange);
     static task<void> write_stream_piece(backend_exchange& exchange, bool unframed, std::string bytes);
 
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -193,7 +193,9 @@
                                     ":400\r\n";
         raw_caller caller(context);
         co_await caller.connect(router_addresses[router]);
-        co_await caller.send(request("POST", "/draft/" + std::to_string(random_deadly() % 100), headers));
+        const std::string target =
+            random_deadly() % 2 == 0 ? "/draft/" : "/ask/"; // The latter is sent again.
+        co_await caller.send(request("POST", target + std::to_string(random_deadly() % 100), headers));
         const auto answer = co_await caller.read_answer(6s);
         const unsigned status = answer ? answer->result_int() : 0;
         EXPECT_NE(200U, status) << "a request that ended its server was answered as complete";
@@ -209,6 +211,17 @@
         --active_callers;
     }
 
+    /// Leaves entries among those of the servers that no router can use, as another writer might.
+    task<void> leave_odd_entries() {
+        const std::array odd = {std::string(3000, '[') + std::string(3000, ']'),
+                                std::string("{\"slots\":1e999}"),
+                                std::string("{\"service\":\"plain\",\"address\":\"127.0.0.1:70000\"}")};
+        for (std::size_t i = 0; !stopping; ++i) {
+            store.put_text("servers", "odd-" + std::to_string(i % 5), odd.at(random_deadly() % odd.size()));
+            co_await sleep_for(milliseconds(300 + random_deadly() % 900));
+        }
+    }
+
     /// Expects that the routers keep the deadly part from the servers once five of them have crashed, now
     /// that no fault is in the way, and that requests with the same first parts are served.
     task<void> expect_quarantine() {
@@ -362,6 +375,7 @@
             asio::co_spawn(context, run_caller(), asio::detached);
         }
         asio::co_spawn(context, run_deadly_caller(), asio::detached);
+        asio::co_spawn(context, leave_odd_entries(), asio::detached);
         asio::co_spawn(context, inject_random_faults(), asio::detached);
         co_await sleep_for(fault_duration);
         stopping = true;
