--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -96,7 +96,9 @@
 private:
     std::optional<refusal> check_admission();
     std::optional<refusal> check_request();
+    std::optional<quarantined_part> find_quarantined_part() const;
     std::optional<refusal> check_quarantine() const;
+    bool take_probe();
     bool is_kept_back() const;
     void start_timeout();
     task<std::optional<refusal>> reserve_budget();
@@ -228,24 +230,28 @@
     if (route_->carries_prompt && !terms_.prompt) {
         return refusal{refusal_reason::malformed, "the request does not state its prompt", {}};
     }
-    if (std::optional<refusal> refused = check_quarantine()) {
-        is_probe_ = core_.quarantine.take_probe(terms_.prompt->shared_parts, clock_reading::now());
-        if (!is_probe_) {
-            return refused;
-        }
+    std::optional<refusal> refused = check_quarantine();
+    if (refused && !take_probe()) {
+        return refused;
     }
     service_ = choose_service(*route_, random_below(1U << 30U));
     core_.retries.record_request(service_, clock::now());
     return std::nullopt;
 }
 
-/// Returns the refusal for a request with a prompt part in quarantine; nothing if it has none.
+/// Returns a prompt part of the request that is in quarantine; nothing if it has none.
 template <class Core>
-std::optional<refusal> exchange<Core>::check_quarantine() const {
+std::optional<quarantined_part> exchange<Core>::find_quarantined_part() const {
     if (!terms_.prompt || core_.quarantine.empty()) {
         return std::nullopt;
     }
-    const auto found = core_.quarantine.find_quarantined(terms_.prompt->shared_parts, clock_reading::now());
+    return core_.quarantine.find_quarantined(terms_.prompt->shared_parts, clock_reading::now());
+}
+
+/// Returns the refusal for a request with a prompt part in quarantine; nothing if it has none.
+template <class Core>
+std::optional<refusal> exchange<Core>::check_quarantine() const {
+    const std::optional<quarantined_part> found = find_quarantined_part();
     if (!found) {
         return std::nullopt;
     }
@@ -254,14 +260,24 @@
                    found->time_left};
 }
 
+/// Makes the request the one that finds out whether its prompt part in quarantine is harmless, if it is this
+/// router's turn. Returns whether it did.
+template <class Core>
+bool exchange<Core>::take_probe() {
+    is_probe_ = core_.quarantine.take_probe(terms_.prompt->shared_parts, clock_reading::now());
+    if (is_probe_) {
+        Json::Value fields;
+        fields["request"] = terms_.id;
+        core_.log.write("quarantine_probe", std::move(fields));
+    }
+    return is_probe_;
+}
+
 /// Returns whether the request must not be sent to a server, or to no further one, because of a part in
 /// quarantine.
 template <class Core>
 bool exchange<Core>::is_kept_back() const {
-    if (!terms_.prompt || core_.quarantine.empty()) {
-        return false;
-    }
-    const auto found = core_.quarantine.find_quarantined(terms_.prompt->shared_parts, clock_reading::now());
+    const std::optional<quarantined_part> found = find_quarantined_part();
     const bool is_unsent_probe = is_probe_ && attempts_sent_ == 0;
     return found && !(is_unsent_probe && found->may_be_probed);
 }
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -52,8 +52,8 @@
 /// Returns the evidence as a JSON document, with times in Unix milliseconds.
 Json::Value to_json(const evidence_by_part& evidence);
 
-/// Parses the result of `to_json`. Parts and crashes that cannot be read are left out. Fails if the document is
-/// no object.
+/// Parses the result of `to_json`. Parts and crashes that cannot be read are left out. Fails if the document
+/// is no object.
 result<evidence_by_part> parse_evidence(const Json::Value& document);
 
 } // namespace eelgrassgw
