Quarantine: decide only when an answer concerns a part in quarantine, and report one outage as one crash

Why it works: an answer makes its parts less suspect, so only the release of a part in quarantine can follow from it. Weighing crashes by moments tells a deadly part, whose crashes are apart, from one outage.

--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -81,9 +81,9 @@
         crash.survived = true;
         crash.outlived = outlived;
     }
-    if (has_news) {
-        tracked.has_unsent_change = true;
-        decide();
+    tracked.has_unsent_change = tracked.has_unsent_change || has_news;
+    if (has_news && is_quarantined(part)) {
+        decide(); // An answer with any other part makes that part less suspect, which changes nothing.
     }
 }
 
@@ -296,8 +296,10 @@
     quarantined_group best;
     part_suspicion best_suspicion;
     for (const auto& [part, tracked] : parts_) {
-        if (int(tracked.evidence.open_crash_count()) * part_suspicion::weight_after_begin <
-            part_suspicion::max_weight) {
+        constexpr auto min_crashes =
+            std::size_t(part_suspicion::max_weight / part_suspicion::weight_after_begin);
+        if (tracked.evidence.crashes.size() < min_crashes ||
+            tracked.evidence.open_crash_count() < min_crashes) {
             continue; // Most parts are left out here, at little cost.
         }
         part_suspicion suspicion = judge(tracked.evidence, explained);
@@ -325,7 +327,8 @@
 
 /// Returns whether nobody else needs to hear of a crash under a part, because answers speak against it.
 bool part_quarantine::is_settled(const part_evidence& evidence, const part_evidence::crash& crash) {
-    return crash.outlived || (crash.survived && evidence.open_crash_count() < min_reported_crashes);
+    constexpr int min_reported_weight = int(min_reported_crashes) * part_suspicion::weight_after_begin;
+    return crash.outlived || (crash.survived && weigh_crashes(evidence) < min_reported_weight);
 }
 
 bool part_quarantine::has_crash_older_than(const tracked_part& tracked, milliseconds age, clock_reading now) {
