Gateway: log and count the limit that a server names

Now the first answer with another limit than the last one's writes backend_server_limit, each attempt has the field limit, and answers_with_limit counts them. Nothing is decided by it.

--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -37,6 +37,9 @@
     /// Until this time the server wants no requests from this process.
     clock::time_point paused_until{};
 
+    /// Requests per second that the server takes from all routers together, according to its last answer.
+    std::optional<double> stated_limit;
+
     /// Time of the last byte from the server, or of the first request if it was idle before.
     clock::time_point last_heard_at{};
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -120,6 +120,7 @@
     void note_whole_answer();
     void note_broken_answer(const tracked_backend& server) const;
     void note_server_notice(tracked_backend& server, const reply_head& head);
+    void note_server_limit(tracked_backend& server, const reply_head& head, answer_kind kind);
     void log_reply(const backend_reply& reply);
     bool can_continue_answer(const reply_head& head) const;
     void avoid_server(tracked_backend& server, milliseconds duration) {
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -71,6 +71,7 @@
     log_reply(reply);
     if (reply.has_head()) {
         note_server_notice(*server, reply.head());
+        note_server_limit(*server, reply.head(), kind);
     }
     if (kind == answer_kind::invalid) {
         error_ = ec ? "send to " + upstream.peer + ": " + ec.message()
@@ -169,6 +170,28 @@
     }
 }
 
+/// Logs the limit that an answer of the server names, and each change of it.
+template <class Core>
+void exchange<Core>::note_server_limit(tracked_backend& server, const reply_head& head, answer_kind kind) {
+    if (kind == answer_kind::wrong_server) {
+        return; // Another server says so of itself.
+    }
+    const server_notice notice = core_.protocol.read_server_notice(head);
+    if (notice.limit) {
+        attempt_fields_["limit"] = *notice.limit;
+        core_.metrics.count("answers_with_limit");
+    }
+    if (notice.limit == server.stated_limit) {
+        return;
+    }
+    server.stated_limit = notice.limit;
+    Json::Value fields;
+    fields["server"] = server.server.id;
+    fields["request"] = terms_.id;
+    fields["limit"] = notice.limit ? Json::Value(*notice.limit) : Json::Value();
+    core_.log.write("backend_server_limit", std::move(fields));
+}
+
 /// Tells the quarantine how long the server has been writing events of the answer.
 template <class Core>
 void exchange<Core>::note_answer_progress() {
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -51,6 +51,13 @@
 
     /// Time during which the server wants no requests from this process, if it declined because of its load.
     std::optional<std::chrono::milliseconds> pause;
+
+    /// Requests per second that the server takes from all routers together, if it names such a limit.
+    std::optional<double> limit;
+
+    /// Whether the answer has a limit that cannot be read, so that it says neither which nor that there is
+    /// none.
+    bool has_unreadable_limit = false;
 };
 
 /// Whether an answer that names no request can only belong to the request that was sent.
--- a/test/gateway/adapter_test.cpp
+++ b/test/gateway/adapter_test.cpp
@@ -84,6 +84,34 @@
     EXPECT_FALSE(caller_protocol().read_server_notice(head).leaving);
 }
 
+server_notice notice_with_limit(const std::string& text) {
+    http::response_header<> head;
+    head.set("Server-Limit", text);
+    return caller_protocol().read_server_notice(head);
+}
+
+TEST(server_notice, limit_is_a_decimal_number_of_requests_per_second) {
+    EXPECT_EQ(2.8, notice_with_limit("2.8").limit);
+    EXPECT_EQ(0.05, notice_with_limit("0.05").limit);
+    EXPECT_EQ(40, notice_with_limit("40").limit);
+    EXPECT_EQ(0, notice_with_limit("0").limit);
+    EXPECT_EQ(caller_protocol::max_limit, notice_with_limit(std::string(400, '9')).limit);
+    EXPECT_FALSE(notice_with_limit("2.8").has_unreadable_limit);
+}
+
+TEST(server_notice, answer_without_a_limit_says_that_there_is_none) {
+    const server_notice notice = caller_protocol().read_server_notice(http::response_header<>());
+    EXPECT_FALSE(notice.limit.has_value());
+    EXPECT_FALSE(notice.has_unreadable_limit);
+}
+
+TEST(server_notice, limit_that_is_no_number_says_nothing) {
+    for (const char* text : {"-1", "-0.5", "few", "2/s", "2 3", "1e3", "nan", "inf"}) {
+        EXPECT_FALSE(notice_with_limit(text).limit.has_value()) << text;
+        EXPECT_TRUE(notice_with_limit(text).has_unreadable_limit) << text;
+    }
+}
+
 TEST(caller_protocol, hop_by_hop_headers_are_not_forwarded) {
     const auto request =
         request_with_headers({{"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}});
