A server gets no more than the limit that it names from all routers together

Cause: routers did not know Server-Limit. Class: a bound on what all machines do together that nothing enforces. Change: request_limit keeps one allowance for each run of a server, of which every router has a copy; limit_notices tells each request, each change and the end to all routers, and asks a few of them twice a second. Why this works: requests of other routers are taken out of the same allowance, whoever sends them, so the sum holds for any number of routers and any spread of the traffic; a router that misses a notice adopts the next one's lower allowance.

--- a/src/backends/backend_directory.cpp
+++ b/src/backends/backend_directory.cpp
@@ -52,6 +52,7 @@
         tracked->paused_until = {};
         tracked->doubted_until = {};
         tracked->leaving = false;
+        tracked->limit = {};
     }
     tracked->server = listed.server;
     tracked->position = listed.position;
@@ -66,6 +67,7 @@
         return;
     }
     tracked.leaving = it->second.leaving;
+    tracked.limit = it->second.limit;
     if (listed.position.era > it->second.era) {
         tracked.doubted_until = now + restored_entry_doubt;
     }
@@ -119,8 +121,7 @@
 backend_directory::time_until_accepting(const std::string& service, clock::time_point now) const {
     std::optional<std::chrono::milliseconds> shortest;
     for (const auto& each : ready_servers(service)) {
-        const auto pause = std::chrono::ceil<std::chrono::milliseconds>(each->paused_until - now);
-        const auto wait = std::max(pause, std::chrono::milliseconds(0));
+        const auto wait = each->time_until_accepting(now);
         shortest = std::min(shortest.value_or(wait), wait);
     }
     return shortest;
@@ -139,7 +140,7 @@
     gone.removed = true;
     std::erase_if(departed_,
                   [&](const auto& each) { return now - each.second.departed_at > departed_retention; });
-    departed_[id] = {gone.server.started_ms, gone.position.era, gone.leaving, now};
+    departed_[id] = {gone.server.started_ms, gone.position.era, gone.leaving, gone.limit, now};
     by_id_.erase(id);
 }
 
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -3,8 +3,10 @@
 /// Keeps track of the backend servers in the platform's list.
 
 #include "backends/backend_server.h"
+#include "limits/request_limit.h"
 #include "store/store_objects.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -37,8 +39,8 @@
     /// Until this time the server wants no requests from this process.
     clock::time_point paused_until{};
 
-    /// Requests per second that the server takes from all routers together, according to its last answer.
-    std::optional<double> stated_limit;
+    /// Limit that the server has named on the requests of all routers together.
+    request_limit limit;
 
     /// Time of the last byte from the server, or of the first request if it was idle before.
     clock::time_point last_heard_at{};
@@ -76,6 +78,13 @@
         return !server.draining && !leaving && !removed && paused_until <= now && doubted_until <= now;
     }
 
+    /// Returns the time until this process may send a request to a server that is ready; zero if it may at
+    /// `now`.
+    std::chrono::milliseconds time_until_accepting(clock::time_point now) const {
+        const auto pause = std::chrono::ceil<std::chrono::milliseconds>(paused_until - now);
+        return std::max({pause, limit.time_until_room(now), std::chrono::milliseconds(0)});
+    }
+
     /// Returns whether the server has requests of this process and has sent nothing for any of them for a
     /// while. Such a server is chosen only if no other one is available.
     bool is_silent(clock::time_point now) const {
@@ -136,7 +145,7 @@
     /// Returns the servers of a service that accept new requests, including those that asked for a pause.
     std::vector<std::shared_ptr<tracked_backend>> ready_servers(const std::string& service) const;
 
-    /// Returns the time until the first ready server of the service accepts requests; zero if one does now.
+    /// Returns the time until the first ready server of the service may get a request; zero if one may now.
     /// Returns nothing if the service has no ready server.
     std::optional<std::chrono::milliseconds> time_until_accepting(const std::string& service,
                                                                   clock::time_point now) const;
@@ -153,6 +162,7 @@
         std::int64_t started_ms = 0;
         std::uint64_t era = 0; ///< Era of the store in which it left.
         bool leaving = false;  ///< Whether it stated that it is leaving.
+        request_limit limit;   ///< Limit that it named.
         clock::time_point departed_at{};
     };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -119,8 +119,8 @@
     void note_answer_progress();
     void note_whole_answer();
     void note_broken_answer(const tracked_backend& server) const;
-    void note_server_notice(tracked_backend& server, const reply_head& head);
-    void note_server_limit(tracked_backend& server, const reply_head& head, answer_kind kind);
+    void note_server_notice(tracked_backend& server, const reply_head& head, answer_kind kind);
+    void note_server_limit(tracked_backend& server, const server_notice& notice, answer_kind kind);
     void log_reply(const backend_reply& reply);
     bool can_continue_answer(const reply_head& head) const;
     void avoid_server(tracked_backend& server, milliseconds duration) {
@@ -336,7 +336,12 @@
         tried_server_ids_.push_back(server->server.id);
         attempt_fields_ = Json::objectValue;
         attempt_fields_["server"] = server->server.id;
+        const int sent_before = attempts_sent_;
+        core_.server_limits.note_request(*server); // No other request may take its place meanwhile.
         const attempt_outcome outcome = co_await send_to(server);
+        if (attempts_sent_ == sent_before) {
+            server->limit.give_back(clock::now());
+        }
         attempt_fields_["end"] = name_of(outcome);
         attempt_log_.append(std::move(attempt_fields_));
         if (outcome == attempt_outcome::answered) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -82,7 +82,7 @@
           ledger_(control_pool_, direct_ledger_, log_sink()),
           budgets_(context, ledger_, {incarnation_, settings_.notice_listen}, settings_.allowances,
                    log_sink()),
-          core_(context, budgets_, log, metrics, settings_.retries, incarnation_),
+          core_(context, budgets_, log, metrics, settings_.retries, incarnation_, settings_.notice_listen),
           quarantine_sync_(objects_, Platform::quarantine_kind, Platform::quarantine_name, core_.quarantine,
                            core_.notices, log_sink()) {}
 
@@ -269,11 +269,13 @@
         const std::vector<std::string> other_routers = budgets_.other_router_addresses();
         core_.notices.set_peers(other_routers);
         core_.quarantine.set_routers(settings_.notice_listen, other_routers);
+        core_.server_limits.ask_routers();
         core_.pool.close_stale();
         control_pool_.close_stale();
         metrics_.set("requests_running", core_.running_requests);
         metrics_.set("backend_connections_opened", double(core_.pool.opened_count()));
         metrics_.set("prompt_parts_in_quarantine", double(core_.quarantine.quarantined_count()));
+        metrics_.set("backend_servers_with_limit", double(core_.server_limits.limited_server_count()));
         metrics_.set("log_lines_dropped", double(log_.dropped_lines()));
         co_await sleep_for(maintenance_interval);
     }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -6,6 +6,7 @@
 #include "base/event_log.h"
 #include "eelgrassgw/metrics/metrics.h"
 #include "gateway/request_terms.h"
+#include "limits/limit_notices.h"
 #include "net/connection_pool.h"
 #include "placing/prompt_notices.h"
 #include "quarantine/crash_detector.h"
@@ -42,9 +43,11 @@
 template <caller_protocol Protocol, class Budgets>
 struct gateway_core {
     gateway_core(asio::io_context& io, Budgets& keeper, event_log& events, metrics_registry& registry,
-                 const retry_limits& limits, const std::string& incarnation)
+                 const retry_limits& limits, const std::string& incarnation,
+                 const std::string& notice_address)
         : context(io), budgets(keeper), log(events), metrics(registry), pool(io), retries(limits),
           notices(io), long_prompts(notices, directory, incarnation),
+          server_limits(notices, directory, notice_address),
           quarantine([this](const auto& parts, const evidence_by_part& evidence, bool is_quarantined) {
               log_quarantine(parts, evidence, is_quarantined);
           }),
@@ -73,6 +76,7 @@
     backend_directory directory;
     notice_channel notices;
     prompt_notices long_prompts;
+    limit_notices server_limits;
     part_quarantine quarantine; ///< Prompt parts whose requests are kept from backend servers.
     crash_detector crashes;
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -70,8 +70,7 @@
     const answer_kind kind = co_await reply.read_head(classify);
     log_reply(reply);
     if (reply.has_head()) {
-        note_server_notice(*server, reply.head());
-        note_server_limit(*server, reply.head(), kind);
+        note_server_notice(*server, reply.head(), kind);
     }
     if (kind == answer_kind::invalid) {
         error_ = ec ? "send to " + upstream.peer + ": " + ec.message()
@@ -149,7 +148,7 @@
 
 /// Applies what the server states about itself in the head of an answer.
 template <class Core>
-void exchange<Core>::note_server_notice(tracked_backend& server, const reply_head& head) {
+void exchange<Core>::note_server_notice(tracked_backend& server, const reply_head& head, answer_kind kind) {
     const auto now = clock::now();
     server.last_heard_at = now;
     const server_notice notice = core_.protocol.read_server_notice(head);
@@ -168,23 +167,24 @@
         fields["pause_ms"] = Json::Int64(notice.pause->count());
         core_.log.write("backend_server_paused", std::move(fields));
     }
+    note_server_limit(server, notice, kind);
 }
 
-/// Logs the limit that an answer of the server names, and each change of it.
+/// Notes what an answer says about the server's limit. An invalid answer may lack what the server meant to
+/// say, so it ends no limit.
 template <class Core>
-void exchange<Core>::note_server_limit(tracked_backend& server, const reply_head& head, answer_kind kind) {
-    if (kind == answer_kind::wrong_server) {
-        return; // Another server says so of itself.
-    }
-    const server_notice notice = core_.protocol.read_server_notice(head);
+void exchange<Core>::note_server_limit(tracked_backend& server, const server_notice& notice,
+                                       answer_kind kind) {
     if (notice.limit) {
         attempt_fields_["limit"] = *notice.limit;
         core_.metrics.count("answers_with_limit");
     }
-    if (notice.limit == server.stated_limit) {
+    const bool says_nothing = !notice.limit && kind == answer_kind::invalid;
+    const bool is_of_another_server = kind == answer_kind::wrong_server;
+    if (says_nothing || is_of_another_server || notice.has_unreadable_limit ||
+        !core_.server_limits.note_answer(server, notice.limit)) {
         return;
     }
-    server.stated_limit = notice.limit;
     Json::Value fields;
     fields["server"] = server.server.id;
     fields["request"] = terms_.id;
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -45,7 +45,9 @@
     const auto pause = core_.directory.time_until_accepting(service_, clock::now());
     if (pause.value_or(milliseconds(0)) > milliseconds(0)) {
         return {refusal_reason::overloaded,
-                "every backend server of service \"" + service_ + "\" asked for a pause", *pause};
+                "every backend server of service \"" + service_ +
+                    "\" asked for a pause or has reached its limit",
+                *pause};
     }
     if (last == attempt_outcome::not_sent) {
         return {refusal_reason::no_backend_server,
--- a/src/net/notice_channel.cpp
+++ b/src/net/notice_channel.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace eelgrassgw {
 
 namespace {
@@ -47,16 +49,32 @@
     for (const std::string& each : peers) {
         const result<udp::endpoint> endpoint = udp_address(each);
         if (endpoint && peers_.size() < max_peers) {
-            peers_.push_back(endpoint.value());
+            peers_.push_back({each, endpoint.value()});
         }
     }
 }
 
-void notice_channel::send(const Json::Value& notice) {
+std::vector<std::string> notice_channel::peers() const {
+    std::vector<std::string> addresses;
+    for (const peer& each : peers_) {
+        addresses.push_back(each.address);
+    }
+    return addresses;
+}
+
+void notice_channel::send(const Json::Value& notice, std::size_t max_recipients) {
     const std::string text = to_text(notice);
-    for (const udp::endpoint& peer : peers_) {
+    for (std::size_t i = 0; i < std::min(max_recipients, peers_.size()); ++i) {
         net_error ignored; // A send error has the same effect as a lost datagram.
-        socket_.send_to(asio::buffer(text), peer, 0, ignored);
+        socket_.send_to(asio::buffer(text), peers_[i].endpoint, 0, ignored);
+    }
+}
+
+void notice_channel::send_to(const std::string& address, const Json::Value& notice) {
+    const result<udp::endpoint> endpoint = udp_address(address);
+    if (endpoint && socket_.is_open()) {
+        net_error ignored; // As in `send`.
+        socket_.send_to(asio::buffer(to_text(notice)), endpoint.value(), 0, ignored);
     }
 }
 
--- a/src/net/notice_channel.h
+++ b/src/net/notice_channel.h
@@ -21,7 +21,9 @@
 public:
     using handler = std::function<result<done>(const Json::Value& notice)>;
 
-    static constexpr std::size_t max_peers = 64; ///< Maximum number of routers that are notified.
+    static constexpr std::size_t max_peers = 1024; ///< Maximum number of routers that are known.
+    /// Maximum number of routers that get a notice which every router should have but can do without.
+    static constexpr std::size_t usual_max_recipients = 64;
     static constexpr std::size_t max_notice_bytes = 8192;
 
     explicit notice_channel(asio::io_context& context) : socket_(context) {}
@@ -36,8 +38,14 @@
     /// Sets the addresses (IP:port) of the routers that receive notices from now on.
     void set_peers(const std::vector<std::string>& peers);
 
-    /// Sends a notice to all peers.
-    void send(const Json::Value& notice);
+    /// Returns the addresses of the peers.
+    std::vector<std::string> peers() const;
+
+    /// Sends a notice to the peers, at most to `max_recipients` of them.
+    void send(const Json::Value& notice, std::size_t max_recipients = usual_max_recipients);
+
+    /// Sends a notice to one address (IP:port), which need not be that of a peer.
+    void send_to(const std::string& address, const Json::Value& notice);
 
     /// Handles a received notice. Fails with a description of the fault if it is malformed.
     result<done> handle_datagram(const std::string& datagram);
@@ -45,8 +53,14 @@
 private:
     task<void> receive();
 
+    /// A router that gets notices.
+    struct peer {
+        std::string address;
+        asio::ip::udp::endpoint endpoint;
+    };
+
     asio::ip::udp::socket socket_;
-    std::vector<asio::ip::udp::endpoint> peers_;
+    std::vector<peer> peers_;
     std::map<std::string, handler> handlers_;
 };
 
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -27,12 +27,13 @@
            request.excluded.end();
 }
 
-/// Returns the candidates that were not tried yet and accept requests at `now`.
+/// Returns the candidates that were not tried yet, accept requests at `now` and have room within their
+/// limits.
 backend_list without_excluded(const backend_list& candidates, const placement_request& request,
                               tracked_backend::clock::time_point now) {
     backend_list remaining;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(remaining), [&](const auto& each) {
-        return !is_excluded(*each, request) && each->accepts_requests(now);
+        return !is_excluded(*each, request) && each->accepts_requests(now) && each->limit.has_room(now);
     });
     return remaining;
 }
--- a/src/placing/placement.h
+++ b/src/placing/placement.h
@@ -23,7 +23,8 @@
     std::uint64_t random = 0;          ///< Random number that breaks ties among equally loaded servers.
 };
 
-/// Returns one of `candidates`, or null if all of them are excluded or accept no requests at `now`.
+/// Returns one of `candidates`, or null if all of them are excluded, accept no requests at `now` or have no
+/// room within their limits.
 ///
 /// A request with a shared prompt part goes to the first server in the rendezvous hashing order of that part.
 /// The order is the same at all routers, so only one server has to read the part. A server is skipped while
