Crash detector: log crashes under requests of every kind, with the fingerprints of the requests

The logs of second1 had no line for crashes of servers that ran no prompts, and nothing that shows two requests to be the same. Now backend_server_crashed names the requests, each with a fingerprint of method, host, path, caller and body (and query), and so does the attempt in the line request. The quarantine decides as before: without prompt parts there is no evidence.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/refusal.h"
 #include "gateway/retry_advice.h"
 #include "placing/placement.h"
+#include "quarantine/request_fingerprint.h"
 #include "streams/event_splitter.h"
 
 #include <boost/beast/http/write.hpp>
@@ -118,7 +119,8 @@
     std::shared_ptr<tracked_backend> choose_server();
     void note_answer_progress();
     void note_whole_answer();
-    void note_broken_answer(const tracked_backend& server) const;
+    void note_broken_answer(const tracked_backend& server);
+    std::vector<std::string> make_fingerprints() const;
     void note_server_notice(tracked_backend& server, const reply_head& head, answer_kind kind);
     void note_server_limit(tracked_backend& server, const server_notice& notice, answer_kind kind);
     void log_reply(const backend_reply& reply);
@@ -283,6 +285,23 @@
     return found && !(is_unsent_probe && found->may_be_probed);
 }
 
+/// Returns what the request has in common with its repetitions.
+template <class Core>
+std::vector<std::string> exchange<Core>::make_fingerprints() const {
+    const auto method = request_.method_string();
+    const auto target = request_.target();
+    const std::string_view path_and_query(target.data(), target.size());
+    const std::size_t query_start = std::min(path_and_query.find('?'), path_and_query.size());
+    request_identity identity;
+    identity.method = {method.data(), method.size()};
+    identity.host = route_->host;
+    identity.path = path_and_query.substr(0, query_start);
+    identity.query = path_and_query.substr(query_start);
+    identity.caller = customer_ == nullptr ? std::string_view() : std::string_view(customer_->name);
+    identity.body = request_.body();
+    return fingerprints_of(identity);
+}
+
 template <class Core>
 void exchange<Core>::start_timeout() {
     deadline_ = started_ + std::min(route_->timeout, terms_.deadline.value_or(route_->timeout));
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -214,11 +214,13 @@
 
 /// Has the server checked for a crash.
 template <class Core>
-void exchange<Core>::note_broken_answer(const tracked_backend& server) const {
-    if (!terms_.prompt) {
-        return;
-    }
-    interrupted_request interrupted{terms_.prompt->shared_parts, progress_.answer_began};
+void exchange<Core>::note_broken_answer(const tracked_backend& server) {
+    interrupted_request interrupted;
+    interrupted.parts = terms_.prompt ? terms_.prompt->shared_parts : std::vector<std::string>();
+    interrupted.after_begin = progress_.answer_began;
+    interrupted.id = terms_.id;
+    interrupted.fingerprint = make_fingerprints().back();
+    attempt_fields_["fingerprint"] = interrupted.fingerprint;
     if (progress_.first_piece_at) {
         interrupted.written_for = std::chrono::floor<milliseconds>(clock::now() - *progress_.first_piece_at);
     }
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -21,9 +21,6 @@
 } // namespace
 
 void crash_detector::note_broken_answer(const tracked_backend& server, interrupted_request request) {
-    if (request.parts.empty()) {
-        return;
-    }
     const std::string incarnation = name_incarnation(server.server);
     const bool is_first = !unchecked_.contains(incarnation);
     unchecked_[incarnation].push_back(std::move(request));
@@ -51,9 +48,12 @@
     fields["server"] = incarnation;
     fields["broken_answers"] = Json::UInt64(requests.size());
     for (const interrupted_request& each : requests) {
-        if (each.after_begin) {
+        if (each.after_begin && !each.parts.empty()) {
             fields["begun_with_parts"].append(each.parts.back());
         }
+        Json::Value& interrupted = fields["requests"].append(Json::Value(Json::objectValue));
+        interrupted["request"] = each.id;
+        interrupted["fingerprint"] = each.fingerprint;
     }
     log_("backend_server_crashed", std::move(fields));
 }
--- a/src/quarantine/part_quarantine.h
+++ b/src/quarantine/part_quarantine.h
@@ -24,6 +24,8 @@
     std::vector<std::string> parts;           ///< Shared parts of its prompt.
     bool after_begin = false;                 ///< Whether the server had begun to answer it.
     std::chrono::milliseconds written_for{0}; ///< Time for which the server had been writing events.
+    std::string id;                           ///< Id of the request, for the log.
+    std::string fingerprint;                  ///< What it has in common with its repetitions, for the log.
 };
 
 /// A prompt part in quarantine.
