A request that crashes each server is kept from them when it comes again

Class: a protection that covers one kind of request. Change: the quarantine's parts include fingerprints of requests (wide: method, host, path, caller, body; narrow: with details). quarantine_decision, taken out of part_quarantine, sorts out what ran together. Three crashes suffice, only a whole answer speaks for a request, and single crashes go to the other routers in packed notices, not to the store, whose object has a bound now. A router that starts asks three others. Why this works: each router counts the crashes that any router saw under the same fingerprint, and the wide one survives other ids, deadlines and queries.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -120,7 +120,7 @@
     void note_answer_progress();
     void note_whole_answer();
     void note_broken_answer(const tracked_backend& server);
-    std::vector<std::string> make_fingerprints() const;
+    std::vector<std::string> list_parts() const;
     void note_server_notice(tracked_backend& server, const reply_head& head, answer_kind kind);
     void note_server_limit(tracked_backend& server, const server_notice& notice, answer_kind kind);
     void log_reply(const backend_reply& reply);
@@ -139,6 +139,7 @@
     struct attempt_progress {
         bool answer_began = false;                       ///< Whether the head of a success has arrived.
         std::optional<clock::time_point> first_piece_at; ///< Time of the first event.
+        clock::time_point sent_at{};                     ///< Time at which the request was sent.
         bool connection_lost = false; ///< Whether the server's connection ended inside the answer.
     };
 
@@ -155,14 +156,14 @@
     const customer* customer_ = nullptr;
     std::string service_;
     request_terms terms_;
+    std::vector<std::string> parts_; ///< What the request has in common with others, for the quarantine.
     tokens reserved_tokens_ = 0;
     tokens charged_tokens_ = 0; ///< Part of `reserved_tokens_` that the customer is charged.
     std::vector<std::string> tried_server_ids_;
     int attempts_sent_ = 0; ///< Number of backend servers that the request was sent to.
     bool may_have_run_ = false;
-    bool is_probe_ =
-        false; ///< Whether the request finds out for all routers if its prompt parts are harmless.
-    attempt_progress progress_;              ///< Progress of the current attempt.
+    bool is_probe_ = false;     ///< Whether the request finds out for all routers if its parts are harmless.
+    attempt_progress progress_; ///< Progress of the current attempt.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
     std::optional<unread_prompt>
         unread_prompt_; ///< Prompt of the current attempt, until the server has read it.
@@ -190,7 +191,7 @@
     timeout_timer_.cancel();
     control_.finish();
     if (is_probe_ && attempts_sent_ == 0) {
-        core_.quarantine.return_probe(terms_.prompt->shared_parts);
+        core_.quarantine.return_probe(parts_);
     }
     settle_budget();
     log_outcome();
@@ -233,6 +234,7 @@
     if (route_->carries_prompt && !terms_.prompt) {
         return refusal{refusal_reason::malformed, "the request does not state its prompt", {}};
     }
+    parts_ = list_parts();
     std::optional<refusal> refused = check_quarantine();
     if (refused && !take_probe()) {
         return refused;
@@ -242,32 +244,36 @@
     return std::nullopt;
 }
 
-/// Returns a prompt part of the request that is in quarantine; nothing if it has none.
+/// Returns a part of the request that is in quarantine; nothing if it has none.
 template <class Core>
 std::optional<quarantined_part> exchange<Core>::find_quarantined_part() const {
-    if (!terms_.prompt || core_.quarantine.empty()) {
+    if (core_.quarantine.empty()) {
         return std::nullopt;
     }
-    return core_.quarantine.find_quarantined(terms_.prompt->shared_parts, clock_reading::now());
+    return core_.quarantine.find_quarantined(parts_, clock_reading::now());
 }
 
-/// Returns the refusal for a request with a prompt part in quarantine; nothing if it has none.
+/// Returns the refusal for a request with a part in quarantine; nothing if it has none.
 template <class Core>
 std::optional<refusal> exchange<Core>::check_quarantine() const {
     const std::optional<quarantined_part> found = find_quarantined_part();
     if (!found) {
         return std::nullopt;
     }
-    return refusal{refusal_reason::quarantined,
+    if (is_fingerprint(found->part)) {
+        return refusal{refusal_reason::request_quarantined, "backend servers crashed under this request",
+                       found->time_left};
+    }
+    return refusal{refusal_reason::prompt_quarantined,
                    "backend servers crashed under requests with the prompt part \"" + found->part + "\"",
                    found->time_left};
 }
 
-/// Makes the request the one that finds out whether its prompt part in quarantine is harmless, if it is this
+/// Makes the request the one that finds out whether its part in quarantine is harmless, if it is this
 /// router's turn. Returns whether it did.
 template <class Core>
 bool exchange<Core>::take_probe() {
-    is_probe_ = core_.quarantine.take_probe(terms_.prompt->shared_parts, clock_reading::now());
+    is_probe_ = core_.quarantine.take_probe(parts_, clock_reading::now());
     if (is_probe_) {
         Json::Value fields;
         fields["request"] = terms_.id;
@@ -285,9 +291,9 @@
     return found && !(is_unsent_probe && found->may_be_probed);
 }
 
-/// Returns what the request has in common with its repetitions.
+/// Returns what the request has in common with others: the shared parts of its prompt, and its fingerprints.
 template <class Core>
-std::vector<std::string> exchange<Core>::make_fingerprints() const {
+std::vector<std::string> exchange<Core>::list_parts() const {
     const auto method = request_.method_string();
     const auto target = request_.target();
     const std::string_view path_and_query(target.data(), target.size());
@@ -296,10 +302,17 @@
     identity.method = {method.data(), method.size()};
     identity.host = route_->host;
     identity.path = path_and_query.substr(0, query_start);
-    identity.query = path_and_query.substr(query_start);
+    std::string details(path_and_query.substr(query_start));
+    if (terms_.prompt) {
+        details += ' ' + terms_.prompt->to_text();
+    }
+    identity.details = details;
     identity.caller = customer_ == nullptr ? std::string_view() : std::string_view(customer_->name);
     identity.body = request_.body();
-    return fingerprints_of(identity);
+    std::vector<std::string> parts = terms_.prompt ? terms_.prompt->shared_parts : std::vector<std::string>();
+    std::vector<std::string> fingerprints = fingerprints_of(identity);
+    std::move(fingerprints.begin(), fingerprints.end(), std::back_inserter(parts));
+    return parts;
 }
 
 template <class Core>
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -182,7 +182,7 @@
                                                               backend_callbacks()));
     spawn(object_follower<typename Platform::objects>::follow(
         objects_, Platform::quarantine_kind, quarantine_sync_.follow_with(common_callbacks())));
-    spawn(quarantine_sync_.send_notices());
+    spawn(quarantine_sync_.send_notices(settings_.notice_listen));
     spawn(quarantine_sync_.update_store());
     spawn(budgets_.run());
     spawn(flush_log());
@@ -274,7 +274,8 @@
         control_pool_.close_stale();
         metrics_.set("requests_running", core_.running_requests);
         metrics_.set("backend_connections_opened", double(core_.pool.opened_count()));
-        metrics_.set("prompt_parts_in_quarantine", double(core_.quarantine.quarantined_count()));
+        metrics_.set("prompt_parts_in_quarantine", double(core_.quarantine.quarantined_prompt_part_count()));
+        metrics_.set("requests_in_quarantine", double(core_.quarantine.quarantined_request_count()));
         metrics_.set("backend_servers_with_limit", double(core_.server_limits.limited_server_count()));
         metrics_.set("log_lines_dropped", double(log_.dropped_lines()));
         co_await sleep_for(maintenance_interval);
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -11,9 +11,11 @@
 #include "placing/prompt_notices.h"
 #include "quarantine/crash_detector.h"
 #include "quarantine/part_quarantine.h"
+#include "quarantine/request_fingerprint.h"
 #include "retries/retry_budget.h"
 #include "routes/fleet_configuration.h"
 
+#include <algorithm>
 #include <concepts>
 #include <memory>
 #include <string>
@@ -54,7 +56,8 @@
           crashes(io, pool, quarantine,
                   [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }) {}
 
-    /// Logs that prompt parts got into quarantine or were released, with the servers that crashed under them.
+    /// Logs that prompt parts or a request got into quarantine or were released, with the servers that
+    /// crashed under them.
     void log_quarantine(const part_quarantine::part_group& parts, const evidence_by_part& evidence,
                         bool is_quarantined) {
         Json::Value fields;
@@ -62,8 +65,11 @@
             fields["parts"].append(part);
         }
         fields["evidence"] = to_json(evidence);
-        log.write_failure(is_quarantined ? "prompt_parts_quarantined" : "prompt_parts_released",
-                          std::move(fields));
+        const bool is_request = std::all_of(parts.begin(), parts.end(), is_fingerprint);
+        const char* event = is_request       ? (is_quarantined ? "request_quarantined" : "request_released")
+                            : is_quarantined ? "prompt_parts_quarantined"
+                                             : "prompt_parts_released";
+        log.write_failure(event, std::move(fields));
     }
 
     asio::io_context& context;
@@ -77,7 +83,7 @@
     notice_channel notices;
     prompt_notices long_prompts;
     limit_notices server_limits;
-    part_quarantine quarantine; ///< Prompt parts whose requests are kept from backend servers.
+    part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -34,6 +34,7 @@
     may_have_run_ = true;
     ++attempts_sent_;
     progress_ = {};
+    progress_.sent_at = clock::now();
     const attempt_outcome outcome = co_await send_and_receive(server, *upstream);
     control_.detach_upstream();
     if (progress_.connection_lost && !control_.cancelled()) {
@@ -197,34 +198,29 @@
 void exchange<Core>::note_answer_progress() {
     const auto now = clock_reading::now();
     progress_.first_piece_at = progress_.first_piece_at.value_or(now.steady);
-    if (terms_.prompt && !core_.quarantine.empty()) {
-        core_.quarantine.note_progress(terms_.prompt->shared_parts, *progress_.first_piece_at, now);
+    if (!core_.quarantine.empty()) {
+        core_.quarantine.note_progress(parts_, *progress_.first_piece_at, now);
     }
 }
 
-/// Tells the quarantine that the prompt's parts are harmless.
+/// Tells the quarantine that the request and its prompt's parts are harmless.
 template <class Core>
 void exchange<Core>::note_whole_answer() {
-    if (terms_.prompt) {
-        const auto now = clock_reading::now();
-        const auto began_at = progress_.first_piece_at.value_or(now.steady);
-        core_.quarantine.note_answer(terms_.prompt->shared_parts, began_at, now);
-    }
+    const auto now = clock_reading::now();
+    core_.quarantine.note_answer(parts_, progress_.first_piece_at.value_or(progress_.sent_at), now);
 }
 
 /// Has the server checked for a crash.
 template <class Core>
 void exchange<Core>::note_broken_answer(const tracked_backend& server) {
     interrupted_request interrupted;
-    interrupted.parts = terms_.prompt ? terms_.prompt->shared_parts : std::vector<std::string>();
+    interrupted.parts = parts_;
     interrupted.after_begin = progress_.answer_began;
-    interrupted.id = terms_.id;
-    interrupted.fingerprint = make_fingerprints().back();
-    attempt_fields_["fingerprint"] = interrupted.fingerprint;
+    attempt_fields_["fingerprint"] = parts_.back();
     if (progress_.first_piece_at) {
         interrupted.written_for = std::chrono::floor<milliseconds>(clock::now() - *progress_.first_piece_at);
     }
-    core_.crashes.note_broken_answer(server, std::move(interrupted));
+    core_.crashes.note_broken_answer(server, std::move(interrupted), terms_.id);
 }
 
 /// Forwards each event as soon as it is complete.
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -26,6 +26,15 @@
 
     /// Returns the largest number of tokens that the request can use.
     tokens max_tokens() const { return prompt_tokens + max_output_tokens; }
+
+    /// Returns a text that prompts have in common only if they have the same size and shared parts.
+    std::string to_text() const {
+        std::string text = std::to_string(prompt_tokens) + ' ' + std::to_string(max_output_tokens);
+        for (const std::string& part : shared_parts) {
+            text += ' ' + part;
+        }
+        return text;
+    }
 };
 
 /// Metadata of a request, as the caller states it.
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/crash_detector.h"
 
+#include "quarantine/request_fingerprint.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -20,10 +22,13 @@
 
 } // namespace
 
-void crash_detector::note_broken_answer(const tracked_backend& server, interrupted_request request) {
+void crash_detector::note_broken_answer(const tracked_backend& server, interrupted_request request,
+                                        std::string id) {
     const std::string incarnation = name_incarnation(server.server);
     const bool is_first = !unchecked_.contains(incarnation);
-    unchecked_[incarnation].push_back(std::move(request));
+    broken_answers& broken = unchecked_[incarnation];
+    broken.requests.push_back(std::move(request));
+    broken.ids.push_back(std::move(id));
     if (is_first) {
         asio::co_spawn(context_, check(incarnation, server.server.address), asio::detached);
     }
@@ -32,28 +37,27 @@
 task<void> crash_detector::check(std::string incarnation, std::string address) {
     co_await sleep_for(check_delay);
     auto opened = co_await pool_.open(address, connect_timeout);
-    const auto requests = unchecked_.extract(incarnation);
+    const auto broken = unchecked_.extract(incarnation);
     if (opened) {
         const milliseconds reuse_time = reuse_time_of(*opened.value());
         pool_.keep(std::move(opened.value()), reuse_time);
         co_return;
     }
-    report_crash(incarnation, requests.mapped());
+    report_crash(incarnation, broken.mapped());
 }
 
-void crash_detector::report_crash(const std::string& incarnation,
-                                  const std::vector<interrupted_request>& requests) {
-    quarantine_.note_crash(incarnation, requests, clock_reading::now());
+void crash_detector::report_crash(const std::string& incarnation, const broken_answers& broken) {
+    quarantine_.note_crash(incarnation, broken.requests, clock_reading::now());
     Json::Value fields;
     fields["server"] = incarnation;
-    fields["broken_answers"] = Json::UInt64(requests.size());
-    for (const interrupted_request& each : requests) {
-        if (each.after_begin && !each.parts.empty()) {
-            fields["begun_with_parts"].append(each.parts.back());
+    fields["broken_answers"] = Json::UInt64(broken.requests.size());
+    for (std::size_t i = 0; i < broken.requests.size(); ++i) {
+        Json::Value& entry = fields["requests"].append(Json::Value(Json::objectValue));
+        entry["request"] = broken.ids[i];
+        entry["begun"] = broken.requests[i].after_begin;
+        for (const std::string& part : broken.requests[i].parts) {
+            entry[is_fingerprint(part) ? "fingerprint" : "last_part"] = part;
         }
-        Json::Value& interrupted = fields["requests"].append(Json::Value(Json::objectValue));
-        interrupted["request"] = each.id;
-        interrupted["fingerprint"] = each.fingerprint;
     }
     log_("backend_server_crashed", std::move(fields));
 }
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -30,18 +30,24 @@
                    event_sink_function log)
         : context_(context), pool_(pool), quarantine_(quarantine), log_(std::move(log)) {}
 
-    /// Notes that the server broke off the answer to a request, and checks the server soon.
-    void note_broken_answer(const tracked_backend& server, interrupted_request request);
+    /// Notes that the server broke off the answer to the request with this id, and checks the server soon.
+    void note_broken_answer(const tracked_backend& server, interrupted_request request, std::string id);
 
 private:
+    /// The requests whose answers one run of a server broke off.
+    struct broken_answers {
+        std::vector<interrupted_request> requests;
+        std::vector<std::string> ids; ///< Ids of the requests, in the same order.
+    };
+
     task<void> check(std::string incarnation, std::string address);
-    void report_crash(const std::string& incarnation, const std::vector<interrupted_request>& requests);
+    void report_crash(const std::string& incarnation, const broken_answers& broken);
 
     asio::io_context& context_;
     connection_pool& pool_;
     part_quarantine& quarantine_;
     event_sink_function log_;
-    std::map<std::string, std::vector<interrupted_request>> unchecked_; ///< Requests by server incarnation.
+    std::map<std::string, broken_answers> unchecked_; ///< Broken answers by server incarnation.
 };
 
 } // namespace eelgrassgw
--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -34,27 +34,6 @@
     return changed;
 }
 
-Json::Value to_json(const part_evidence& evidence) {
-    Json::Value document;
-    document["was_answered"] = evidence.was_answered;
-    for (const auto& [server, crash] : evidence.crashes) {
-        Json::Value& entry = document["crashes"][server];
-        entry["noted_ms"] = to_unix_ms(crash.noted_at);
-        entry["after_begin"] = crash.after_begin;
-        entry["outlived"] = crash.outlived;
-        if (crash.written_for > std::chrono::milliseconds(0)) {
-            entry["written_ms"] = Json::Int64(crash.written_for.count());
-        }
-        if (crash.survived) {
-            entry["survived"] = true;
-        }
-        if (crash.after_answers) {
-            entry["after_answers"] = true;
-        }
-    }
-    return document;
-}
-
 /// Parses a crash; nothing if a time is missing or is none that a clock shows.
 std::optional<part_evidence::crash> parse_crash(const Json::Value& document) {
     constexpr std::int64_t max_unix_ms = 4'102'444'800'000; // The year 2100; later times overflow the clock.
@@ -84,8 +63,23 @@
                                      [](const auto& each) { return !each.second.outlived; }));
 }
 
+part_evidence::wall_time part_evidence::last_crash_at() const {
+    wall_time last{};
+    for (const auto& [server, crash] : crashes) {
+        last = std::max(last, crash.noted_at);
+    }
+    return last;
+}
+
 bool part_evidence::merge(const part_evidence& other) {
     bool changed = other.was_answered && !was_answered;
+    if (crashes.empty()) {
+        companions = other.companions;
+    } else if (!other.crashes.empty()) {
+        const auto n = std::erase_if(
+            companions, [&](const std::string& part) { return !other.companions.contains(part); });
+        changed = changed || n > 0;
+    }
     was_answered = was_answered || other.was_answered;
     for (const auto& [server, crash] : other.crashes) {
         const auto it = crashes.find(server);
@@ -99,6 +93,30 @@
     return changed;
 }
 
+Json::Value to_json(const part_evidence& evidence) {
+    Json::Value document;
+    document["was_answered"] = evidence.was_answered;
+    for (const std::string& part : evidence.companions) {
+        document["companions"].append(part);
+    }
+    for (const auto& [server, crash] : evidence.crashes) {
+        Json::Value& entry = document["crashes"][server];
+        entry["noted_ms"] = to_unix_ms(crash.noted_at);
+        entry["after_begin"] = crash.after_begin;
+        entry["outlived"] = crash.outlived;
+        if (crash.written_for > std::chrono::milliseconds(0)) {
+            entry["written_ms"] = Json::Int64(crash.written_for.count());
+        }
+        if (crash.survived) {
+            entry["survived"] = true;
+        }
+        if (crash.after_answers) {
+            entry["after_answers"] = true;
+        }
+    }
+    return document;
+}
+
 Json::Value to_json(const evidence_by_part& evidence) {
     Json::Value document(Json::objectValue);
     for (const auto& [part, known] : evidence) {
@@ -119,6 +137,9 @@
         }
         part_evidence& known = evidence[part];
         known.was_answered = bool_member(document[part], "was_answered");
+        for (std::string& each : string_elements(member(document[part], "companions"))) {
+            known.companions.insert(std::move(each));
+        }
         for (const std::string& server : crashes.getMemberNames()) {
             if (const auto crash = parse_crash(crashes[server])) {
                 known.crashes[server] = *crash;
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// What the routers know of one prompt part under which backend servers crashed, and its JSON form.
+/// What the routers know of one part of requests under which backend servers crashed, and its JSON form.
 
 #include "eelgrassgw/base/failure.h"
 
@@ -8,12 +8,13 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 
 namespace eelgrassgw {
 
-/// Evidence about one prompt part. Two routers' evidence is combined by `merge`, whose result does not depend
-/// on the order or on repetitions, as long as there are no more than `max_crashes`.
+/// Evidence about one part of requests. Two routers' evidence is combined by `merge`, whose result does not
+/// depend on the order or on repetitions, as long as there are no more than `max_crashes`.
 struct part_evidence {
     /// Crashes beyond this number say nothing new.
     static constexpr std::size_t max_crashes = 48;
@@ -37,9 +38,16 @@
 
     std::map<std::string, crash> crashes; ///< Crashes by the incarnation of the server.
 
+    /// Other parts of the requests with this part under which servers crashed, if each of them had it and
+    /// this part is a fingerprint.
+    std::set<std::string> companions;
+
     /// Returns the number of crashes that no later answer outlived.
     std::size_t open_crash_count() const;
 
+    /// Returns the time of the last crash; the epoch if there is none.
+    wall_time last_crash_at() const;
+
     /// Whether a router has seen a request with the part answered whole before it heard of the crashes.
     bool was_answered = false;
 
@@ -49,7 +57,10 @@
 
 using evidence_by_part = std::map<std::string, part_evidence>;
 
-/// Returns the evidence as a JSON document, with times in Unix milliseconds.
+/// Returns the evidence about one part as a JSON document, with times in Unix milliseconds.
+Json::Value to_json(const part_evidence& evidence);
+
+/// Returns the evidence as a JSON document with a member for each part.
 Json::Value to_json(const evidence_by_part& evidence);
 
 /// Parses the result of `to_json`. Parts and crashes that cannot be read are left out. Fails if the document
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/part_quarantine.h"
 
+#include "quarantine/request_fingerprint.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -11,18 +13,10 @@
 using std::chrono::milliseconds;
 using wall_time = part_evidence::wall_time;
 
-wall_time last_crash_time(const part_evidence& evidence) {
-    wall_time last{};
-    for (const auto& [server, crash] : evidence.crashes) {
-        last = std::max(last, crash.noted_at);
-    }
-    return last;
-}
-
 bool is_expired(const part_evidence& evidence, bool is_quarantined, clock_reading now) {
     const std::chrono::minutes retention =
         is_quarantined ? part_quarantine::quarantine_time : part_quarantine::crash_retention;
-    return now.wall - last_crash_time(evidence) >= retention;
+    return now.wall - evidence.last_crash_at() >= retention;
 }
 
 } // namespace
@@ -32,11 +26,14 @@
     evidence_by_part evidence;
     for (const interrupted_request& request : requests) {
         for (const std::string& part : request.parts) {
-            part_evidence::crash& known = evidence[part].crashes[incarnation];
-            known.noted_at = now.wall;
-            known.after_begin = known.after_begin || request.after_begin;
-            known.written_for = std::max(known.written_for, request.written_for);
-            known.after_answers = is_after_answers(part);
+            part_evidence noted;
+            noted.crashes[incarnation] = {now.wall, request.after_begin,   request.written_for, false,
+                                          false,    is_after_answers(part)};
+            if (is_fingerprint(part)) {
+                noted.companions.insert(request.parts.begin(), request.parts.end());
+                noted.companions.erase(part);
+            }
+            evidence[part].merge(noted);
         }
     }
     add(evidence, true, now);
@@ -46,7 +43,7 @@
                                   clock_reading now) {
     last_answer_began_at_ = std::max(last_answer_began_at_, began_at);
     for (const std::string& part : parts) {
-        answered_.insert(part, now.steady);
+        (is_fingerprint(part) ? answered_requests_ : answered_).insert(part, now.steady);
         note_survival(part, began_at, true, now);
     }
 }
@@ -58,7 +55,9 @@
     }
     last_answer_began_at_ = std::max(last_answer_began_at_, began_at);
     for (const std::string& part : parts) {
-        note_survival(part, began_at, false, now);
+        if (!is_fingerprint(part)) {
+            note_survival(part, began_at, false, now);
+        }
     }
 }
 
@@ -103,7 +102,8 @@
         for (const auto& [server, crash] : tracked.evidence.crashes) {
             tracked.learned_at.emplace(server, now.steady);
         }
-        const bool knows_more = !tracked.evidence.was_answered && answered_.contains(part);
+        const recent_parts& answered = is_fingerprint(part) ? answered_requests_ : answered_;
+        const bool knows_more = !tracked.evidence.was_answered && answered.contains(part);
         tracked.evidence.was_answered = tracked.evidence.was_answered || knows_more;
         tracked.has_unsent_change = tracked.has_unsent_change || knows_more || (is_new && is_own);
     }
@@ -111,15 +111,16 @@
 }
 
 /// Returns the group in quarantine all of whose parts are among these; null if there is none.
-const part_quarantine::quarantined_group* part_quarantine::find_group(const std::vector<std::string>& parts,
-                                                                      clock_reading now) const {
+const quarantined_group* part_quarantine::find_group(const std::vector<std::string>& parts,
+                                                     clock_reading now) const {
     const auto is_requested = [&](const std::string& part) {
         return std::find(parts.begin(), parts.end(), part) != parts.end();
     };
     for (const quarantined_group& group : quarantined_) {
-        const wall_time last = last_crash_time(parts_.at(*group.parts.begin()).evidence);
+        const wall_time last = parts_.at(*group.causes.begin()).evidence.last_crash_at();
         const bool is_in_force = now.wall >= group.in_force_from && now.wall < last + quarantine_time;
-        if (is_in_force && std::all_of(group.parts.begin(), group.parts.end(), is_requested)) {
+        if (is_in_force && std::all_of(group.causes.begin(), group.causes.end(), is_requested) &&
+            std::all_of(group.companions.begin(), group.companions.end(), is_requested)) {
             return &group;
         }
     }
@@ -132,12 +133,12 @@
     if (group == nullptr) {
         return std::nullopt;
     }
-    const std::string& part = *group->parts.begin();
+    const std::string& part = *group->causes.begin();
     if (group->level == suspicion_level::probable) {
         const auto until_probe = std::chrono::ceil<milliseconds>(group->probe_from - now.wall);
         return quarantined_part{part, std::max(probe_schedule::turn_time, until_probe), true};
     }
-    const auto time_left = last_crash_time(parts_.at(part).evidence) + quarantine_time - now.wall;
+    const auto time_left = parts_.at(part).evidence.last_crash_at() + quarantine_time - now.wall;
     return quarantined_part{part, std::chrono::ceil<milliseconds>(time_left), false};
 }
 
@@ -146,7 +147,7 @@
     if (group == nullptr || group->level != suspicion_level::probable || now.wall < group->probe_from) {
         return false;
     }
-    const std::string& part = *group->parts.begin();
+    const std::string& part = *group->causes.begin();
     const std::int64_t turn = probe_schedule::turn_at(now.wall);
     std::int64_t& last_turn = parts_.at(part).last_probe_turn;
     if (turn == last_turn || !probes_.is_own_turn(part, turn)) {
@@ -185,7 +186,8 @@
     bool is_due = false;
     for (const auto& [part, tracked] : parts_) {
         const auto it = stored.find(part);
-        const bool has_room = it != stored.end() || is_quarantined(part) || planned.size() < max_stored_parts;
+        const std::size_t max_parts = max_stored_parts + (is_quarantined(part) ? max_more_stored_parts : 0);
+        const bool has_room = it != stored.end() || planned.size() < max_parts;
         if (has_room && needs_store_update(part, tracked, it == stored.end() ? nullptr : &it->second, now)) {
             is_due = planned[part].merge(tracked.evidence) || is_due;
         }
@@ -198,41 +200,87 @@
     return planned;
 }
 
+evidence_by_part part_quarantine::evidence_for_new_router() const {
+    evidence_by_part told;
+    for (const quarantined_group& group : quarantined_) {
+        told.merge(evidence_of(group.causes));
+    }
+    for (const auto& [part, tracked] : parts_) {
+        const auto& crashes = tracked.evidence.crashes;
+        const bool is_open = std::any_of(crashes.begin(), crashes.end(), [&](const auto& each) {
+            return !is_settled(tracked.evidence, each.second);
+        });
+        if (is_open && told.size() < max_stored_parts) {
+            told.emplace(part, tracked.evidence);
+        }
+    }
+    return told;
+}
+
 void part_quarantine::clear() {
     parts_.clear();
     quarantined_.clear();
     answered_.clear();
+    answered_requests_.clear();
+}
+
+std::size_t part_quarantine::quarantined_prompt_part_count() const {
+    return count_quarantined(false);
 }
 
-std::size_t part_quarantine::quarantined_count() const {
+std::size_t part_quarantine::quarantined_request_count() const {
+    return count_quarantined(true);
+}
+
+/// Returns the number of requests or of prompt parts in quarantine.
+std::size_t part_quarantine::count_quarantined(bool requests) const {
     std::size_t n = 0;
     for (const quarantined_group& group : quarantined_) {
-        n += group.parts.size();
+        const auto fingerprints =
+            std::size_t(std::count_if(group.causes.begin(), group.causes.end(), is_fingerprint));
+        const bool is_request = fingerprints == group.causes.size();
+        n += requests ? std::size_t(is_request) : group.causes.size() - fingerprints;
     }
     return n;
 }
 
 bool part_quarantine::is_quarantined(const std::string& part) const {
     return std::any_of(quarantined_.begin(), quarantined_.end(),
-                       [&](const quarantined_group& group) { return group.parts.contains(part); });
+                       [&](const quarantined_group& group) { return group.causes.contains(part); });
 }
 
 /// Returns the entry of a part, for which another one may have to go.
 part_quarantine::tracked_part& part_quarantine::find_or_add(const std::string& part) {
-    if (!parts_.contains(part) && parts_.size() >= max_tracked_parts) {
-        remove_least_suspect();
+    const bool is_request = is_fingerprint(part);
+    const bool may_be_full = parts_.size() >= max_tracked_parts;
+    if (may_be_full && !parts_.contains(part) && count_tracked(is_request) >= max_tracked_parts) {
+        remove_least_suspect(is_request);
     }
     return parts_[part];
 }
 
-/// Forgets the part with the lightest crashes, among those the one whose last crash was the first.
-void part_quarantine::remove_least_suspect() {
+/// Returns the number of tracked fingerprints or of tracked prompt parts.
+std::size_t part_quarantine::count_tracked(bool requests) const {
+    return std::size_t(std::count_if(parts_.begin(), parts_.end(), [&](const auto& each) {
+        return is_fingerprint(each.first) == requests;
+    }));
+}
+
+/// Forgets the fingerprint or the prompt part with the lightest crashes, among those the one whose last crash
+/// was the first.
+void part_quarantine::remove_least_suspect(bool among_requests) {
     const auto rank = [&](const auto& each) {
         const part_evidence& evidence = each.second.evidence;
-        return std::tuple(is_quarantined(each.first), weigh_crashes(evidence), last_crash_time(evidence));
+        const int weight = among_requests ? int(evidence.open_crash_count()) : weigh_crashes(evidence);
+        return std::tuple(is_quarantined(each.first), weight, evidence.last_crash_at());
     };
-    const auto least = std::min_element(parts_.begin(), parts_.end(),
-                                        [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    auto least = parts_.end();
+    for (auto it = parts_.begin(); it != parts_.end(); ++it) {
+        const bool is_candidate = is_fingerprint(it->first) == among_requests;
+        if (is_candidate && (least == parts_.end() || rank(*it) < rank(*least))) {
+            least = it;
+        }
+    }
     if (least != parts_.end()) {
         parts_.erase(least);
     }
@@ -247,18 +295,16 @@
     }
 }
 
-/// Finds the parts that explain the crashes, the most suspect ones first, and puts exactly these into
-/// quarantine.
+/// Puts exactly the parts into quarantine that explain the crashes.
 void part_quarantine::decide() {
-    const std::vector<quarantined_group> before = std::exchange(quarantined_, {});
-    server_incarnations explained;
-    for (quarantined_group group = find_most_suspect(explained); !group.parts.empty();
-         group = find_most_suspect(explained)) {
-        for (const auto& [server, crash] : parts_.at(*group.parts.begin()).evidence.crashes) {
-            explained.insert(server);
+    std::vector<quarantine_candidate> candidates;
+    for (const auto& [part, tracked] : parts_) {
+        constexpr std::size_t min_crashes = part_suspicion::max_crashes_of_request;
+        if (tracked.evidence.open_crash_count() >= min_crashes) { // Most parts have fewer.
+            candidates.push_back({part, &tracked.evidence});
         }
-        quarantined_.push_back(std::move(group));
     }
+    const std::vector<quarantined_group> before = std::exchange(quarantined_, decide_quarantine(candidates));
     report_changes(before);
 }
 
@@ -267,10 +313,11 @@
     const auto report_missing = [&](const std::vector<quarantined_group>& groups,
                                     const std::vector<quarantined_group>& others, bool is_quarantined) {
         for (const quarantined_group& group : groups) {
-            const bool is_missing = std::none_of(
-                others.begin(), others.end(), [&](const auto& other) { return other.parts == group.parts; });
+            const bool is_missing = std::none_of(others.begin(), others.end(), [&](const auto& other) {
+                return other.causes == group.causes;
+            });
             if (is_missing) {
-                on_change_(group.parts, evidence_of(group.parts), is_quarantined);
+                on_change_(group.causes, evidence_of(group.causes), is_quarantined);
             }
         }
     };
@@ -289,34 +336,6 @@
     return evidence;
 }
 
-/// Returns the most suspect part, with all parts that the evidence cannot tell from it; nothing if no part is
-/// suspect.
-part_quarantine::quarantined_group
-part_quarantine::find_most_suspect(const server_incarnations& explained) const {
-    quarantined_group best;
-    part_suspicion best_suspicion;
-    for (const auto& [part, tracked] : parts_) {
-        constexpr auto min_crashes =
-            std::size_t(part_suspicion::max_weight / part_suspicion::weight_after_begin);
-        if (tracked.evidence.crashes.size() < min_crashes ||
-            tracked.evidence.open_crash_count() < min_crashes) {
-            continue; // Most parts are left out here, at little cost.
-        }
-        part_suspicion suspicion = judge(tracked.evidence, explained);
-        if (suspicion.level == suspicion_level::none) {
-            continue;
-        }
-        const auto order = suspicion <=> best_suspicion;
-        if (!best.parts.empty() && order == 0 && suspicion.crashes == best_suspicion.crashes) {
-            best.parts.insert(part);
-        } else if (best.parts.empty() || order > 0) {
-            best = {{part}, suspicion.level, suspicion.in_force_from, suspicion.probe_from};
-            best_suspicion = std::move(suspicion);
-        }
-    }
-    return best;
-}
-
 /// Returns whether an answer has survived that began after all known crashes under a part.
 bool part_quarantine::is_after_answers(const std::string& part) const {
     const auto it = parts_.find(part);
@@ -344,6 +363,8 @@
 bool part_quarantine::needs_store_update(const std::string& part, const tracked_part& tracked,
                                          const part_evidence* stored, clock_reading now) const {
     const bool is_culprit = is_quarantined(part);
+    const std::size_t min_crashes = is_fingerprint(part) ? min_stored_crashes_of_request : 1;
+    const bool has_enough = tracked.evidence.open_crash_count() >= min_crashes;
     const auto& crashes = tracked.evidence.crashes;
     return std::any_of(crashes.begin(), crashes.end(), [&](const auto& each) {
         const auto& [server, crash] = each;
@@ -351,7 +372,7 @@
         if (is_settled(tracked.evidence, crash)) {
             return is_stored && crash.outlived && !stored->crashes.at(server).outlived;
         }
-        const bool is_ripe = now.steady - tracked.learned_at.at(server) >= store_delay;
+        const bool is_ripe = has_enough && now.steady - tracked.learned_at.at(server) >= store_delay;
         return !is_stored && (is_ripe || is_culprit);
     });
 }
--- a/src/quarantine/part_quarantine.h
+++ b/src/quarantine/part_quarantine.h
@@ -1,12 +1,12 @@
 #pragma once
 
-/// Decides which prompt parts crash the backend servers that answer them, so that requests with such a part
-/// are kept from all servers.
+/// Decides which parts of requests crash the backend servers that answer them, so that requests with such a
+/// part are kept from all servers.
 
 #include "quarantine/clock_reading.h"
 #include "quarantine/part_evidence.h"
-#include "quarantine/part_suspicion.h"
 #include "quarantine/probe_schedule.h"
+#include "quarantine/quarantine_decision.h"
 #include "quarantine/recent_parts.h"
 
 #include <chrono>
@@ -21,29 +21,28 @@
 
 /// A request that a server was running when it crashed.
 struct interrupted_request {
-    std::vector<std::string> parts;           ///< Shared parts of its prompt.
+    std::vector<std::string> parts;           ///< Shared parts of its prompt, and its fingerprints.
     bool after_begin = false;                 ///< Whether the server had begun to answer it.
     std::chrono::milliseconds written_for{0}; ///< Time for which the server had been writing events.
-    std::string id;                           ///< Id of the request, for the log.
-    std::string fingerprint;                  ///< What it has in common with its repetitions, for the log.
 };
 
-/// A prompt part in quarantine.
+/// A part in quarantine.
 struct quarantined_part {
     std::string part;
     std::chrono::milliseconds time_left{0}; ///< Time after which a request may be served.
     bool may_be_probed = false; ///< Whether single requests may still find out that the part is harmless.
 };
 
-/// Collects evidence about prompt parts and puts a part into quarantine once it has crashed several servers
-/// in a row.
+/// Collects evidence about parts of requests and puts a part into quarantine once it has crashed several
+/// servers in a row. A part is what a request has in common with others: a shared part of its prompt, or its
+/// fingerprint, which it has in common with its repetitions.
 ///
 /// A crash tells little by itself: it ends all requests of the server, and a part that most requests share is
 /// among them each time. But such a part is soon answered elsewhere, and a part that crashes servers never
 /// is. So a crash counts against a part until a request with it whose answer began after the crash is
 /// answered whole, or for longer than any answer that the crash broke off. A part that was answered before
 /// needs more crashes. `part_suspicion` tells how crashes are weighed. A part in quarantine explains its
-/// crashes, so they do not count against other parts.
+/// crashes, so they do not count against other parts; `quarantine_decision` tells in which order.
 ///
 /// Where the crashes may have had another cause, as when all servers lose power at once, nothing would ever
 /// end the quarantine of a harmless part. So the routers take turns to send one request with it to a server.
@@ -66,9 +65,15 @@
     static constexpr std::chrono::minutes quarantine_time{60};
     /// Time after which a crash that led to no quarantine is forgotten.
     static constexpr std::chrono::minutes crash_retention{10};
+    /// Largest number of prompt parts, and of fingerprints, that are tracked.
     static constexpr std::size_t max_tracked_parts = 1024;
-    /// Largest number of parts in the store, whose objects are bounded.
+    /// Largest number of parts in the store, whose objects are bounded, and of those beyond that number which
+    /// are in quarantine.
     static constexpr std::size_t max_stored_parts = 128;
+    static constexpr std::size_t max_more_stored_parts = 64;
+    /// A request is stored from this number of crashes on. Almost all requests that a crash interrupts never
+    /// see another one.
+    static constexpr std::size_t min_stored_crashes_of_request = 2;
     /// Longest identifier of a part, in bytes, that is tracked.
     static constexpr std::size_t max_part_length = 64;
 
@@ -78,8 +83,7 @@
     /// Time for which a crash is kept back from the store, whose calls are dearer than notices.
     static constexpr milliseconds store_delay{500};
 
-    /// Parts that have crashed the same servers, so that the evidence cannot tell which of them is the cause.
-    using part_group = std::set<std::string>;
+    using part_group = eelgrassgw::part_group;
 
     using change_callback =
         std::function<void(const part_group& parts, const evidence_by_part& evidence, bool is_quarantined)>;
@@ -92,10 +96,11 @@
     void note_crash(const std::string& incarnation, const std::vector<interrupted_request>& requests,
                     clock_reading now);
 
-    /// Notes that a request with these shared parts, whose answer began at `began_at`, was answered whole.
+    /// Notes that a request with these parts, whose answer began at `began_at`, was answered whole.
     void note_answer(const std::vector<std::string>& parts, steady_time began_at, clock_reading now);
 
-    /// Notes that the answer to a request with these shared parts, which began at `began_at`, goes on.
+    /// Notes that the answer to a request with these parts, which began at `began_at`, goes on. That speaks
+    /// for its prompt parts only.
     void note_progress(const std::vector<std::string>& parts, steady_time began_at, clock_reading now);
 
     /// Sets the addresses of this router and of the others, which take turns to probe suspect parts.
@@ -106,11 +111,11 @@
     /// Adds the evidence of another router or of the store.
     void merge(const evidence_by_part& evidence, clock_reading now);
 
-    /// Returns a quarantined part of a request with these shared parts, if the request must be kept back.
+    /// Returns a quarantined part of a request with these parts, if the request must be kept back.
     std::optional<quarantined_part> find_quarantined(const std::vector<std::string>& parts,
                                                      clock_reading now) const;
 
-    /// Returns whether a request with these shared parts may be sent to one server although it must be kept
+    /// Returns whether a request with these parts may be sent to one server although it must be kept
     /// back, in order to find out whether they are harmless. Such a request must not be sent again.
     bool take_probe(const std::vector<std::string>& parts, clock_reading now);
 
@@ -126,14 +131,21 @@
     std::optional<evidence_by_part> plan_store_update(const evidence_by_part& stored,
                                                       clock_reading now) const;
 
+    /// Returns what a router that has just started should know: the evidence about the parts in quarantine,
+    /// and about others of which no answer has spoken for, up to a bound.
+    evidence_by_part evidence_for_new_router() const;
+
     /// Ends all quarantines and forgets all evidence, as an operator asks for by deleting it from the store.
     void clear();
 
     /// Returns whether no crash is known, so that no part can be in quarantine.
     bool empty() const { return parts_.empty(); }
 
-    /// Returns the number of parts in quarantine.
-    std::size_t quarantined_count() const;
+    /// Returns the number of prompt parts in quarantine.
+    std::size_t quarantined_prompt_part_count() const;
+
+    /// Returns the number of requests in quarantine.
+    std::size_t quarantined_request_count() const;
 
 private:
     struct tracked_part {
@@ -145,23 +157,16 @@
     };
     using tracked_parts = std::map<std::string, tracked_part>;
 
-    /// Parts in quarantine. Only requests with all of them are kept back.
-    struct quarantined_group {
-        part_group parts;
-        suspicion_level level = suspicion_level::none;
-        part_evidence::wall_time in_force_from{};
-        part_evidence::wall_time probe_from{};
-    };
-
     void add(const evidence_by_part& evidence, bool is_own, clock_reading now);
     tracked_part& find_or_add(const std::string& part);
-    void remove_least_suspect();
+    void remove_least_suspect(bool among_requests);
     void remove_expired(clock_reading now);
     void decide();
     void note_survival(const std::string& part, steady_time began_at, bool whole, clock_reading now);
     void report_changes(const std::vector<quarantined_group>& before) const;
     evidence_by_part evidence_of(const part_group& group) const;
-    quarantined_group find_most_suspect(const server_incarnations& explained) const;
+    std::size_t count_tracked(bool requests) const;
+    std::size_t count_quarantined(bool requests) const;
     const quarantined_group* find_group(const std::vector<std::string>& parts, clock_reading now) const;
     bool is_quarantined(const std::string& part) const;
     bool is_after_answers(const std::string& part) const;
@@ -174,7 +179,8 @@
     tracked_parts parts_;
 
     std::vector<quarantined_group> quarantined_;
-    recent_parts answered_;              ///< Parts of requests that this router saw answered whole.
+    recent_parts answered_;              ///< Prompt parts of requests that this router saw answered whole.
+    recent_parts answered_requests_;     ///< Fingerprints of such requests, which are many more.
     steady_time last_answer_began_at_{}; ///< Latest begin of an answer that survived.
     probe_schedule probes_;
 };
--- a/src/quarantine/part_suspicion.cpp
+++ b/src/quarantine/part_suspicion.cpp
@@ -46,16 +46,12 @@
     return total;
 }
 
-/// Returns those crashes of these servers after which no answer with the part was written for a while, the
-/// earliest first.
-std::vector<part_evidence::crash> unsurvived_crashes(const part_evidence& evidence,
-                                                     const server_incarnations& servers) {
+/// Returns the crashes of these servers, the earliest first.
+std::vector<part_evidence::crash> crashes_in_order(const part_evidence& evidence,
+                                                   const server_incarnations& servers) {
     std::vector<part_evidence::crash> crashes;
     for (const std::string& server : servers) {
-        const part_evidence::crash& crash = evidence.crashes.at(server);
-        if (!crash.survived) {
-            crashes.push_back(crash);
-        }
+        crashes.push_back(evidence.crashes.at(server));
     }
     std::sort(crashes.begin(), crashes.end(),
               [](const auto& a, const auto& b) { return a.noted_at < b.noted_at; });
@@ -104,26 +100,50 @@
     return std::tuple(a.level, !a.was_answered, a.weight) <=> std::tuple(b.level, !b.was_answered, b.weight);
 }
 
-part_suspicion judge(const part_evidence& evidence, const server_incarnations& explained) {
-    part_suspicion suspicion;
-    suspicion.was_answered = evidence.was_answered;
-    suspicion.crashes = unexplained_crashes(evidence, explained);
-    suspicion.weight = weigh_crashes_of(evidence, suspicion.crashes);
-    const int max_weight =
-        evidence.was_answered ? part_suspicion::max_weight_if_answered : part_suspicion::max_weight;
-    const auto crashes = unsurvived_crashes(evidence, suspicion.crashes);
-    const bool has_many_crashes = crashes.size() >= part_suspicion::max_unsurvived_crashes;
+namespace {
+
+/// Judges the crashes of which `max_crashes` make a part suspect whatever their times are. `is_proven` says
+/// whether something else proves the cause. Precondition: `crashes` are in the order of their times.
+void set_level(part_suspicion& suspicion, const std::vector<part_evidence::crash>& crashes,
+               std::size_t max_crashes, bool is_proven) {
+    const bool has_many_crashes = crashes.size() >= max_crashes;
     const int outages = count_outages(crashes);
     const bool returns = count_moments(crashes) >= part_suspicion::max_unsurvived_moments ||
                          outages >= part_suspicion::max_unsurvived_outages;
-    if (suspicion.weight >= max_weight || (has_many_crashes && returns)) {
+    if (has_many_crashes) {
+        suspicion.probe_from = crashes.back().noted_at + probe_delay(outages);
+    }
+    if (is_proven || (has_many_crashes && returns)) {
         suspicion.level = suspicion_level::proven;
     } else if (has_many_crashes) {
         suspicion.level = suspicion_level::probable;
-        suspicion.in_force_from =
-            crashes[part_suspicion::max_unsurvived_crashes - 1].noted_at + part_suspicion::settling_time;
-        suspicion.probe_from = crashes.back().noted_at + probe_delay(outages);
+        suspicion.in_force_from = crashes[max_crashes - 1].noted_at + part_suspicion::settling_time;
     }
+}
+
+} // namespace
+
+part_suspicion judge(const part_evidence& evidence, const server_incarnations& explained) {
+    part_suspicion suspicion;
+    suspicion.was_answered = evidence.was_answered;
+    suspicion.crashes = unexplained_crashes(evidence, explained);
+    suspicion.weight = weigh_crashes_of(evidence, suspicion.crashes);
+    const int max_weight =
+        evidence.was_answered ? part_suspicion::max_weight_if_answered : part_suspicion::max_weight;
+    auto crashes = crashes_in_order(evidence, suspicion.crashes);
+    std::erase_if(crashes, [](const auto& each) { return each.survived; });
+    set_level(suspicion, crashes, part_suspicion::max_unsurvived_crashes, suspicion.weight >= max_weight);
+    return suspicion;
+}
+
+part_suspicion judge_request(const part_evidence& evidence, const server_incarnations& explained) {
+    part_suspicion suspicion;
+    suspicion.was_answered = evidence.was_answered;
+    suspicion.crashes = unexplained_crashes(evidence, explained);
+    suspicion.weight = int(suspicion.crashes.size());
+    const std::size_t max_crashes = evidence.was_answered ? part_suspicion::max_unsurvived_crashes
+                                                          : part_suspicion::max_crashes_of_request;
+    set_level(suspicion, crashes_in_order(evidence, suspicion.crashes), max_crashes, false);
     return suspicion;
 }
 
--- a/src/quarantine/part_suspicion.h
+++ b/src/quarantine/part_suspicion.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Judges from the crashes under one prompt part whether the part causes them.
+/// Judges from the crashes under one part of requests whether the part causes them.
 
 #include "quarantine/part_evidence.h"
 
@@ -45,6 +45,9 @@
     static constexpr milliseconds simultaneous_crash_time{100};
     /// Number of crashes, at whatever times, that make a part suspect.
     static constexpr std::size_t max_unsurvived_crashes = 5;
+    /// The same for the fingerprint of a request that was never answered. It has few requests, so that hardly
+    /// anything else makes it crash so many servers.
+    static constexpr std::size_t max_crashes_of_request = 3;
     /// Number of moments, with other answers between them, at which so many crashes prove the cause.
     static constexpr int max_unsurvived_moments = 3;
     /// Number of outages, with such crashes only, that prove the cause even if nothing was answered.
@@ -70,6 +73,11 @@
 /// Judges the crashes under a part. `explained` are the crashes that another part explains. Thread-safe.
 part_suspicion judge(const part_evidence& evidence, const server_incarnations& explained);
 
+/// Judges the crashes under the fingerprint of a request in the same way. All crashes weigh the same, as many
+/// requests are answered in one piece, so that nobody sees whether a server had begun; and only a whole
+/// answer speaks for the request, since it asks for the same each time. Thread-safe.
+part_suspicion judge_request(const part_evidence& evidence, const server_incarnations& explained);
+
 /// Returns the weight of all crashes that no later answer outlived. Thread-safe.
 int weigh_crashes(const part_evidence& evidence);
 
--- a/src/quarantine/quarantine_sync.h
+++ b/src/quarantine/quarantine_sync.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Shares the evidence about prompt parts among all routers, by notices and through the store.
+/// Shares the evidence about parts of requests among all routers, by notices and through the store.
 
 #include "base/event_sink.h"
 #include "eelgrassgw/base/hash.h"
@@ -11,6 +11,7 @@
 #include "store/object_follower.h"
 #include "store/store_objects.h"
 
+#include <set>
 #include <string>
 #include <utility>
 
@@ -33,6 +34,10 @@
     static constexpr milliseconds initial_retry_delay{500};
     static constexpr milliseconds max_retry_delay{4000};
     static constexpr const char* notice_kind = "quarantine";
+    /// Number of routers that a router which has started asks what is in quarantine.
+    static constexpr std::size_t max_asked_routers = 3;
+    /// Bytes of evidence in one notice, with room left for its other fields.
+    static constexpr std::size_t max_evidence_bytes = notice_channel::max_notice_bytes * 3 / 4;
 
     /// Uses the object `name` of `kind`. Precondition: the references outlive this object.
     quarantine_sync(Store& store, std::string kind, std::string name, part_quarantine& quarantine,
@@ -43,13 +48,13 @@
                              [this](const Json::Value& notice) { return handle_notice(notice); });
     }
 
-    /// Sends new evidence to the other routers until the process ends. It never waits for the store.
-    task<void> send_notices() {
+    /// Sends new evidence to the other routers until the process ends, and asks some of them at first what is
+    /// in quarantine. `own_address` is where this router receives notices. It never waits for the store.
+    task<void> send_notices(std::string own_address) {
         for (;;) {
             co_await sleep_for(draw_round_time());
-            for (const auto& [part, evidence] : quarantine_.take_notices(clock_reading::now())) {
-                send_notice({{part, evidence}});
-            }
+            ask_routers(own_address);
+            send_in_notices(quarantine_.take_notices(clock_reading::now()));
         }
     }
 
@@ -85,14 +90,58 @@
         return round_interval + milliseconds(random_below(round_interval.count()));
     }
 
-    void send_notice(const evidence_by_part& evidence) {
+    /// Asks routers that were not asked before, until enough were.
+    void ask_routers(const std::string& own_address) {
+        for (const std::string& router : channel_.peers()) {
+            if (asked_routers_.size() >= max_asked_routers) {
+                return;
+            }
+            if (asked_routers_.insert(router).second) {
+                Json::Value question;
+                question["kind"] = notice_kind;
+                question["from"] = own_address;
+                question["asks"] = true;
+                channel_.send_to(router, question);
+            }
+        }
+    }
+
+    /// Sends evidence in as few notices as it fits into: to one router, or to all if `router` is empty, since
+    /// any of them may get the next request with a part.
+    void send_in_notices(const evidence_by_part& evidence, const std::string& router = {}) {
+        Json::Value parts(Json::objectValue);
+        std::size_t bytes = 0;
+        for (const auto& [part, known] : evidence) {
+            Json::Value entry = to_json(known);
+            const std::size_t entry_bytes = part.size() + to_text(entry).size();
+            if (!parts.empty() && bytes + entry_bytes > max_evidence_bytes) {
+                send_notice(std::exchange(parts, Json::Value(Json::objectValue)), router);
+                bytes = 0;
+            }
+            parts[part] = std::move(entry);
+            bytes += entry_bytes;
+        }
+        if (!parts.empty()) {
+            send_notice(std::move(parts), router);
+        }
+    }
+
+    void send_notice(Json::Value parts, const std::string& router) {
         Json::Value notice;
         notice["kind"] = notice_kind;
-        notice["parts"] = to_json(evidence);
-        channel_.send(notice);
+        notice["parts"] = std::move(parts);
+        if (router.empty()) {
+            channel_.send(notice, notice_channel::max_peers);
+        } else {
+            channel_.send_to(router, notice);
+        }
     }
 
     result<done> handle_notice(const Json::Value& notice) {
+        if (bool_member(notice, "asks")) {
+            send_in_notices(quarantine_.evidence_for_new_router(), string_member(notice, "from"));
+            return done{};
+        }
         const auto evidence = parse_evidence(member(notice, "parts"));
         if (!evidence) {
             return evidence.error();
@@ -157,6 +206,7 @@
     notice_channel& channel_;
     event_sink_function log_;
     evidence_by_part stored_; ///< Content of the stored object, as this router knows it.
+    std::set<std::string> asked_routers_;
     store_position position_; ///< Position of that object; revision 0 if it does not exist.
     backoff backoff_{initial_retry_delay, max_retry_delay};
 };
--- a/src/quarantine/request_fingerprint.cpp
+++ b/src/quarantine/request_fingerprint.cpp
@@ -8,7 +8,7 @@
 
 // A prompt part holds no colon, since the list of parts uses it as a separator.
 constexpr std::string_view prefix = "request:";
-constexpr char query_separator = '?';
+constexpr char details_separator = '?';
 constexpr std::size_t digest_length = 16;
 
 std::string digest(const std::string& text) {
@@ -31,8 +31,9 @@
         append_field(fields, field);
     }
     std::vector<std::string> fingerprints{std::string(prefix) + digest(fields)};
-    if (!request.query.empty()) {
-        fingerprints.push_back(fingerprints.front() + query_separator + digest(std::string(request.query)));
+    if (!request.details.empty()) {
+        fingerprints.push_back(fingerprints.front() + details_separator +
+                               digest(std::string(request.details)));
     }
     return fingerprints;
 }
@@ -41,8 +42,8 @@
     return text.starts_with(prefix);
 }
 
-std::string_view without_query(std::string_view fingerprint) {
-    return fingerprint.substr(0, fingerprint.find(query_separator));
+std::string_view request_of(std::string_view fingerprint) {
+    return fingerprint.substr(0, fingerprint.find(details_separator));
 }
 
 } // namespace eelgrassgw
