--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -60,6 +60,13 @@
         }
     }
 
+    /// Gives the request in progress up, if there is one: its caller gets the final answer at once.
+    void give_up_request() {
+        if (const auto control = current_control_.lock()) {
+            control->note_timeout();
+        }
+    }
+
 private:
     /// Counts a request and its body as in progress, also if serving it ends with an exception.
     class running_request {
@@ -100,6 +107,7 @@
     tcp::socket caller_;
     boost::beast::flat_buffer buffer_;
     bool idle_ = false;
+    std::weak_ptr<exchange_control> current_control_; ///< Control of the request in progress.
 };
 
 template <class Core>
@@ -211,6 +219,7 @@
         co_return false;
     }
     auto control = std::make_shared<exchange_control>(caller_);
+    current_control_ = control;
     auto watch_done = std::make_shared<asio::steady_timer>(core_.context, clock::time_point::max());
     asio::co_spawn(core_.context, watch_caller(control, watch_done), asio::detached);
     exchange<Core> current(core_, request, caller_, control, started);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,6 +71,8 @@
     static constexpr milliseconds refusal_delay{3000};
     /// Time kept free for the end of the stop before the platform would kill the process.
     static constexpr milliseconds forced_stop_margin{700};
+    /// Time within which callers get the final answers to requests that outlast the stop.
+    static constexpr milliseconds final_answer_time{150};
     /// Largest number of callers' connections that are open at once.
     static constexpr std::size_t max_caller_connections = 3500;
 
@@ -132,6 +134,7 @@
     void add_announced_relays(const std::vector<std::string>& relays);
     void update_relays();
     void close_idle_sessions();
+    task<void> give_up_requests();
 
     asio::io_context& context_;
     gateway_settings settings_;
@@ -336,6 +339,20 @@
     }
 }
 
+/// Has the callers of all requests in progress get a final answer, since the process is about to end.
+template <gateway_platform Platform>
+task<void> gateway<Platform>::give_up_requests() {
+    for (const auto& each : sessions_) {
+        if (const auto session = each.lock()) {
+            session->give_up_request();
+        }
+    }
+    const auto deadline = clock::now() + final_answer_time;
+    while (core_.running_requests > 0 && clock::now() < deadline) {
+        co_await sleep_for(milliseconds(5));
+    }
+}
+
 template <gateway_platform Platform>
 task<void> gateway<Platform>::stop() {
     const auto stop_started = clock::now();
@@ -351,11 +368,13 @@
         co_await sleep_for(milliseconds(20));
     }
     core_.refusing_requests = true; // The process may end before a server could answer.
+    const int requests_cut = core_.running_requests;
+    co_await give_up_requests();
     net_error ignored;
     acceptor_->close(ignored);
     const bool allowances_returned = co_await budgets_.return_allowances();
     Json::Value fields;
-    fields["requests_cut"] = core_.running_requests;
+    fields["requests_cut"] = requests_cut;
     fields["allowances_returned"] = allowances_returned;
     log_.write("stopped", std::move(fields));
     log_.flush();
--- a/test/gateway/deadly_request_test.cpp
+++ b/test/gateway/deadly_request_test.cpp
@@ -116,6 +116,15 @@
         }
     }
 
+    /// Expects that a request which comes again and again, at all routers, is kept from servers in time.
+    task<void> expect_quarantine(int at_once, std::chrono::milliseconds pause) {
+        co_await start_routers(3);
+        co_await repeat(at_once, pause, 12s);
+        EXPECT_LE(arrivals_after_bound(), max_requests_after_bound) << crashes.size() << " servers crashed";
+        co_await expect_other_requests_served();
+    }
+
+    static constexpr std::chrono::seconds time_limit{40};
     std::string method = "GET";
     std::string deadly_path = "/read/deadly";
     bool is_stream = false;
@@ -125,46 +134,12 @@
 
 TEST_F(deadly_request_test, request_that_crashes_each_server_is_kept_from_them_when_it_comes_again) {
     run_task(
-        context,
-        [&]() -> task<void> {
-            co_await start_routers(3);
-            co_await repeat(1, 400ms, 12s);
-            EXPECT_LE(arrivals_after_bound(), max_requests_after_bound)
-                << crashes.size() << " servers crashed";
-            co_await expect_other_requests_served();
-        },
-        40s);
+        context, [&]() -> task<void> { return expect_quarantine(1, 400ms); }, time_limit);
 }
 
 TEST_F(deadly_request_test, request_that_comes_in_bursts_is_kept_from_servers) {
     run_task(
-        context,
-        [&]() -> task<void> {
-            co_await start_routers(3);
-            co_await repeat(6, 2500ms, 12s);
-            EXPECT_LE(arrivals_after_bound(), max_requests_after_bound)
-                << crashes.size() << " servers crashed";
-            co_await expect_other_requests_served();
-        },
-        40s);
-}
-
-TEST_F(deadly_request_test, booking_that_comes_again_is_kept_from_servers_that_start_later_too) {
-    method = "POST";
-    deadly_path = "/book/deadly";
-    run_task(
-        context,
-        [&]() -> task<void> {
-            co_await start_routers(2);
-            co_await repeat(1, 900ms, 6s);
-            start_router(); // It has the quarantine from the store.
-            co_await sleep_for(1s);
-            co_await repeat(1, 900ms, 5s);
-            EXPECT_LE(arrivals_after_bound(), max_requests_after_bound)
-                << crashes.size() << " servers crashed";
-            co_await expect_other_requests_served();
-        },
-        40s);
+        context, [&]() -> task<void> { return expect_quarantine(6, 2500ms); }, time_limit);
 }
 
 TEST_F(deadly_request_test, stream_that_is_answered_for_longer_each_time_is_kept_from_servers) {
@@ -172,15 +147,22 @@
     deadly_path = "/ask/deadly";
     is_stream = true;
     run_task(
-        context,
-        [&]() -> task<void> {
-            co_await start_routers(3);
-            co_await repeat(1, 900ms, 12s);
-            EXPECT_LE(arrivals_after_bound(), max_requests_after_bound)
-                << crashes.size() << " servers crashed";
-            co_await expect_other_requests_served();
-        },
-        40s);
+        context, [&]() -> task<void> { return expect_quarantine(1, 900ms); }, time_limit);
+}
+
+TEST_F(deadly_request_test, booking_that_comes_again_is_kept_from_servers_by_a_router_that_starts_later_too) {
+    method = "POST";
+    deadly_path = "/book/deadly";
+    const auto play = [&]() -> task<void> {
+        co_await start_routers(2);
+        co_await repeat(1, 900ms, 6s);
+        start_router(); // It has the quarantine from the store.
+        co_await sleep_for(1s);
+        co_await repeat(1, 900ms, 5s);
+        EXPECT_LE(arrivals_after_bound(), max_requests_after_bound) << crashes.size() << " servers crashed";
+        co_await expect_other_requests_served();
+    };
+    run_task(context, play, time_limit);
 }
 
 } // namespace
--- a/test/gateway/stop_test.cpp
+++ b/test/gateway/stop_test.cpp
@@ -124,6 +124,60 @@
     });
 }
 
+/// Callers send late in a stop that a long request keeps open, on kept connections and on new ones.
+TEST_F(stop_test, request_that_comes_late_in_a_stop_is_refused_and_reaches_no_server) {
+    configure({{"/read/", "idempotent", "plain", 2, 6000}, {"/book/", "non_idempotent", "plain", 2, 6000}},
+              2);
+    const auto& server = add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        const bool is_long = e.request().target() == "/read/long";
+        co_await sleep_for(is_long ? 4800ms : 10ms);
+        co_await e.answer(200, is_long ? "late and whole" : "ok");
+    });
+    run([&]() -> task<void> {
+        co_await sleep_for(200ms); // For the second configuration.
+        raw_caller long_caller(context);
+        co_await long_caller.connect(settings.listen);
+        co_await long_caller.send(request("GET", "/read/long"));
+        co_await sleep_for(50ms);
+        asio::co_spawn(context, router->stop(), asio::detached);
+        co_await sleep_for(gateway_type::refusal_delay + 200ms);
+        const std::size_t before = server.arrived().size();
+        for (const std::string& bytes : {request("POST", "/book/1", "", "body"), request("GET", "/read/1")}) {
+            raw_caller caller(context);
+            co_await caller.connect(settings.listen);
+            co_await caller.send(bytes);
+            const auto answer = co_await caller.read_answer(1s);
+            EXPECT_EQ(503U, answer ? answer->result_int() : 0);
+            co_await sleep_for(700ms);
+        }
+        EXPECT_EQ(before, server.arrived().size());
+        EXPECT_EQ("late and whole", (co_await long_caller.read_answer())->body());
+    });
+}
+
+/// A server works on until after the end of the stop.
+TEST_F(stop_test, request_that_outlasts_the_stop_gets_a_final_answer) {
+    configure({{"/read/", "idempotent", "plain", 2, 60000}, {"/book/", "non_idempotent", "plain", 2, 60000}},
+              2);
+    settings.stop_limit = std::chrono::seconds(4);
+    add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
+        co_await sleep_for(10s);
+        co_await e.answer(200, "too late");
+    });
+    run([&]() -> task<void> {
+        co_await sleep_for(200ms);
+        raw_caller caller(context);
+        co_await caller.connect(settings.listen);
+        co_await caller.send(request("POST", "/book/1", "", "body"));
+        co_await sleep_for(50ms);
+        const auto started = std::chrono::steady_clock::now();
+        co_await router->stop();
+        EXPECT_LT(std::chrono::steady_clock::now() - started, settings.stop_limit);
+        const auto answer = co_await caller.read_answer(200ms);
+        EXPECT_EQ(504U, answer ? answer->result_int() : 0);
+    });
+}
+
 TEST_F(stop_test, idle_connections_are_closed) {
     add_backend("s1", "plain", answering("ok"));
     run([&]() -> task<void> {
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -171,6 +171,22 @@
         call_http(peer.listen_endpoint(), post_request(), short_timeouts).failed_with(errc::outcome_unknown));
 }
 
+// Guards against an answer that ends in its head and is taken for one with an empty body.
+TEST(http_client_test, answer_cut_off_inside_its_head_is_an_unknown_outcome) {
+    for (const char* sent : {"HTTP/1.1 20", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                             "HTTP/1.1 200 OK\r\nContent-Length: 10", "HTTP/1.1 200 OK\r\nX: y\r\n\r"}) {
+        for (const peer_end end : {peer_end::close, peer_end::reset}) {
+            const scripted_peer peer(sent, end);
+            EXPECT_TRUE(call_http(peer.listen_endpoint(), post_request(), short_timeouts)
+                            .failed_with(errc::outcome_unknown))
+                << sent;
+            EXPECT_TRUE(open_http_stream(peer.listen_endpoint(), post_request(), short_timeouts)
+                            .failed_with(errc::outcome_unknown))
+                << sent;
+        }
+    }
+}
+
 TEST(http_client_test, body_without_a_length_that_ends_with_a_reset_is_an_unknown_outcome) {
     const scripted_peer peer("HTTP/1.1 200 OK\r\n\r\nhalf", peer_end::reset);
     EXPECT_TRUE(
