Soak: servers that name limits, and a request that crashes servers and comes again

Limits are named, changed and ended at random under all faults; afterwards one server names 4 a second and must get no more from all routers in 4 s than the rule allows. The deadly request comes at random routers; afterwards, three seconds after its third crash, at most three more may reach servers.

--- a/test/soak/soak_backend.cpp
+++ b/test/soak/soak_backend.cpp
@@ -27,14 +27,24 @@
                                 "\r\nContent-Length: 0\r\n\r\n");
         co_return;
     }
+    if (state_->limits.contains(id)) {
+        state_->limited_arrivals[id].push_back(std::chrono::steady_clock::now());
+    }
     if (state_->draw_failure(4)) {
-        co_await exchange.decline();
+        co_await exchange.write("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + attempt_id +
+                                "\r\nNot-Executed: 1\r\n" + limit_line() + "Content-Length: 0\r\n\r\n");
         co_return;
     }
     if (!exchange.is_first_on_connection() && state_->draw_late_refusal()) {
         co_await exchange.write(make_late_refusal());
     }
     ++state_->runs[attempt_id];
+    if (exchange.request().target() == deadly_path) {
+        ++state_->crashes_by_request;
+        crash();
+        exchange.break_off(true);
+        co_return;
+    }
     co_await sleep_for(std::chrono::milliseconds(2 + state_->random() % 25));
     if (state_->draw_failure(4)) {
         exchange.break_off(state_->draw_failure(50));
@@ -56,13 +66,28 @@
     return "HTTP/1.1 " + refusal + "\r\nContent-Length: 0\r\n\r\n";
 }
 
+/// Returns the header line with the limit that the server names; empty if it names none.
+std::string soak_backend::limit_line() const {
+    const auto it = state_->limits.find(id);
+    return it == state_->limits.end() ? "" : "Server-Limit: " + std::to_string(it->second) + "\r\n";
+}
+
+std::string soak_backend::make_head(const backend_exchange& exchange, int status) const {
+    return exchange.genuine_head(status) + limit_line();
+}
+
+task<void> soak_backend::answer(backend_exchange& exchange, int status, std::string body) const {
+    co_await exchange.write(make_head(exchange, status) + "Content-Length: " + std::to_string(body.size()) +
+                            "\r\n\r\n" + body);
+}
+
 task<void> soak_backend::answer_plain_request(backend_exchange& exchange) {
     const std::string body = make_plain_answer(exchange.header("Attempt-Id"));
     if (!draw_unframed()) {
-        co_await exchange.answer(200, body);
+        co_await answer(exchange, 200, body);
         co_return;
     }
-    co_await exchange.write(exchange.genuine_head(200) + "Connection: close\r\n\r\n" + body);
+    co_await exchange.write(make_head(exchange, 200) + "Connection: close\r\n\r\n" + body);
     exchange.break_off(false);
 }
 
@@ -79,13 +104,14 @@
     const std::string last_event_id = exchange.header("Last-Event-Id");
     const bool unframed = draw_unframed();
     if (!last_event_id.empty() && state_->draw_error_after_break()) {
-        co_await exchange.answer(500, "data: the server failed\n\n");
+        co_await answer(exchange, 500, "data: the server failed\n\n");
         co_return;
     }
     if (unframed) {
-        co_await exchange.write(exchange.genuine_head(200) + "Connection: close\r\n\r\n");
+        co_await exchange.write(make_head(exchange, 200) + "Connection: close\r\n\r\n");
     } else {
-        co_await exchange.start_stream();
+        co_await exchange.write(make_head(exchange, 200) +
+                                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     }
     if (exchange.header("Prompt-Prefix").find(deadly_part) != std::string::npos) {
         ++state_->crashes;
--- a/test/soak/soak_backend.h
+++ b/test/soak/soak_backend.h
@@ -23,6 +23,15 @@
     /// Number of requests with the deadly part that servers began to answer, each of which ended its server.
     int crashes = 0;
 
+    /// Number of deadly requests that servers began to run, each of which ended its server.
+    int crashes_by_request = 0;
+
+    /// Limits that servers name in all their answers, in requests per second, by the id of the server.
+    std::map<std::string, double> limits;
+
+    /// Times at which requests reached the servers that name a limit, by the id of the server.
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> limited_arrivals;
+
     /// Returns true with a probability of `percent`, or false if failures are disabled.
     bool draw_failure(unsigned percent) { return !failures_disabled && random() % 100 < percent; }
 
@@ -43,6 +52,9 @@
 /// Shared prompt part that ends each server which begins to answer a request with it.
 constexpr const char* deadly_part = "deadbeef";
 
+/// Path of the request that ends each server which begins to run it.
+constexpr const char* deadly_path = "/read/deadly";
+
 /// Returns the event with this number of the stream that answers the request `id`.
 inline std::string make_stream_event(const std::string& id, int number) {
     return "id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n";
@@ -63,6 +75,9 @@
     task<void> serve(backend_exchange& exchange);
     task<void> serve_stream(backend_exchange& exchange);
     std::string make_late_refusal();
+    std::string make_head(const backend_exchange& exchange, int status) const;
+    task<void> answer(backend_exchange& exchange, int status, std::string body) const;
+    std::string limit_line() const;
     task<void> answer_plain_request(backend_exchange& exchange);
     static task<void> write_stream_piece(backend_exchange& exchange, bool unframed, std::string bytes);
 
