A request whose caller has closed its connection reaches no server, however far the router is behind

Cause: the close is read by a task of its own; a router that is behind sends requests before that task gets its turn, and with an idle connection to the server at hand nothing in between lets it run. Change: right before a request is sent, the caller's socket is looked at. Besides, an unused connection goes back to the pool for as long as before, by one function instead of two.

--- a/src/gateway/exchange_control.h
+++ b/src/gateway/exchange_control.h
@@ -2,6 +2,7 @@
 
 /// Cancels an exchange when its caller leaves or its deadline passes.
 
+#include "net/connection_pool.h"
 #include "net/task.h"
 
 namespace eelgrassgw {
@@ -24,6 +25,14 @@
     /// Releases the connection, so that a cancellation no longer resets it.
     void detach_upstream() { upstream_ = nullptr; }
 
+    /// Cancels the exchange if the caller has closed its connection and this process has not noticed yet, as
+    /// when it is behind with its work.
+    void check_caller() {
+        if (is_closed_by_peer(caller_)) {
+            note_caller_left();
+        }
+    }
+
     /// Cancels the exchange because the caller closed its connection.
     void note_caller_left() {
         caller_left_ = true;
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -16,15 +16,17 @@
         avoid_server(*server, avoid_unreachable_time);
         co_return attempt_outcome::not_sent;
     }
+    std::unique_ptr<connection> upstream = std::move(opened.value());
+    control_.check_caller();
     if (control_.cancelled() || time_left() < min_attempt_time) {
+        core_.pool.put_back(std::move(upstream));
         co_return attempt_outcome::cancelled;
     }
-    std::unique_ptr<connection> upstream = std::move(opened.value());
     // While this task waited for the connection, the server may have begun to leave or to pause, or a part of
     // the prompt may have got into quarantine.
     if (!server->accepts_requests(clock::now()) || is_kept_back()) {
         error_ = "server " + server->server.id + " accepts no requests like this one";
-        core_.pool.keep(std::move(upstream), connection_pool::default_reuse_time);
+        core_.pool.put_back(std::move(upstream));
         co_return attempt_outcome::not_sent;
     }
     server->begin_request(clock::now());
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -31,12 +31,26 @@
     socket.set_option(tcp_user_timeout(static_cast<int>(unacknowledged_timeout.count())), ignored);
 }
 
-bool is_open_without_input(tcp::socket& socket) {
+namespace {
+
+/// Returns the error of a read that would not wait; none if there are bytes to read.
+net_error peek(tcp::socket& socket) {
     net_error ec;
     socket.non_blocking(true, ec);
     char byte = 0;
     socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
-    return ec == asio::error::would_block;
+    return ec;
+}
+
+} // namespace
+
+bool is_open_without_input(tcp::socket& socket) {
+    return peek(socket) == asio::error::would_block;
+}
+
+bool is_closed_by_peer(tcp::socket& socket) {
+    const net_error ec = peek(socket);
+    return ec && ec != asio::error::would_block;
 }
 
 task<result<std::unique_ptr<connection>>> connection_pool::open(std::string address,
@@ -57,6 +71,13 @@
     list.push_back(std::move(idle));
 }
 
+void connection_pool::put_back(std::unique_ptr<connection> unused) {
+    const auto now = clock::now();
+    const auto time_left = std::chrono::floor<std::chrono::milliseconds>(unused->keep_until - now);
+    const bool is_new = unused->keep_until <= now;
+    keep(std::move(unused), is_new ? default_reuse_time : time_left);
+}
+
 void connection_pool::close_idle(const std::string& address) {
     idle_.erase(address);
 }
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -55,6 +55,9 @@
     /// idle. Precondition: the last reply on the connection was read completely.
     void keep(std::unique_ptr<connection> idle, std::chrono::milliseconds keep_for);
 
+    /// Keeps a connection that `open` returned and that was not used, for as long as before.
+    void put_back(std::unique_ptr<connection> unused);
+
     /// Closes all idle connections to `address`.
     void close_idle(const std::string& address);
 
@@ -81,4 +84,7 @@
 /// Returns whether an idle connection is still open and has received no unexpected bytes.
 bool is_open_without_input(tcp::socket& socket);
 
+/// Returns whether the peer has closed the connection, in any way, and sent nothing that is still to be read.
+bool is_closed_by_peer(tcp::socket& socket);
+
 } // namespace eelgrassgw
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-/// Returns the time for which a connection may go on waiting for reuse.
-std::chrono::milliseconds reuse_time_of(const connection& idle) {
-    const auto now = connection_pool::clock::now();
-    return idle.keep_until > now ? std::chrono::floor<std::chrono::milliseconds>(idle.keep_until - now)
-                                 : connection_pool::default_reuse_time;
-}
-
 std::string name_incarnation(const backend_server& server) {
     return server.id + "@" + std::to_string(server.started_ms);
 }
@@ -39,8 +32,7 @@
     auto opened = co_await pool_.open(address, connect_timeout);
     const auto broken = unchecked_.extract(incarnation);
     if (opened) {
-        const milliseconds reuse_time = reuse_time_of(*opened.value());
-        pool_.keep(std::move(opened.value()), reuse_time);
+        pool_.put_back(std::move(opened.value()));
         co_return;
     }
     report_crash(incarnation, broken.mapped());
--- a/test/gateway/abandoned_request_test.cpp
+++ b/test/gateway/abandoned_request_test.cpp
@@ -126,5 +126,27 @@
     });
 }
 
+/// The router finds the request and the end of its connection in the same turn of its event loop, as when it
+/// is behind with its work.
+class closed_caller_test : public gateway_fixture {};
+
+TEST_F(closed_caller_test, request_whose_caller_has_closed_the_connection_reaches_no_server) {
+    configure({{"/read/", "idempotent", "plain", 2}});
+    const auto& server = add_backend("s1", "plain", answering("ok"));
+    run([&]() -> task<void> {
+        raw_caller patient_caller(context);
+        co_await patient_caller.connect(settings.listen);
+        co_await patient_caller.send(request("GET", "/read/"));
+        co_await patient_caller.read_answer(); // The router keeps a connection to the server.
+        raw_caller caller(context);
+        co_await caller.connect(settings.listen);
+        co_await sleep_for(50ms);
+        caller.send_blocking(request("GET", "/read/"));
+        caller.close();
+        co_await sleep_for(100ms);
+        EXPECT_EQ(1U, server.arrived().size());
+    });
+}
+
 } // namespace
 } // namespace eelgrassgw
--- a/test/gateway/raw_caller.h
+++ b/test/gateway/raw_caller.h
@@ -38,6 +38,12 @@
     void connect_and_send_blocking(const std::string& address, const std::string& bytes) {
         net_error ignored; // The caller notices a failure by the missing answer.
         socket_.connect(parse_address(address).value(), ignored);
+        send_blocking(bytes);
+    }
+
+    /// Sends the bytes unchanged. It blocks the calling thread in the same way.
+    void send_blocking(const std::string& bytes) {
+        net_error ignored; // As above.
         asio::write(socket_, asio::buffer(bytes), ignored);
     }
 
