--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -205,13 +205,13 @@
     for (const quarantined_group& group : quarantined_) {
         told.merge(evidence_of(group.causes));
     }
-    for (const auto& [part, tracked] : parts_) {
-        const auto& crashes = tracked.evidence.crashes;
-        const bool is_open = std::any_of(crashes.begin(), crashes.end(), [&](const auto& each) {
-            return !is_settled(tracked.evidence, each.second);
-        });
+    for (const auto& tracked : parts_) {
+        const part_evidence& evidence = tracked.second.evidence;
+        const bool is_open =
+            std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                        [&](const auto& each) { return !is_settled(evidence, each.second); });
         if (is_open && told.size() < max_stored_parts) {
-            told.emplace(part, tracked.evidence);
+            told.emplace(tracked.first, evidence);
         }
     }
     return told;
