--- a/test/gateway/request_quarantine_test.cpp
+++ b/test/gateway/request_quarantine_test.cpp
@@ -43,6 +43,7 @@
 
     void crash_at(router_view& view, const std::vector<part_list>& requests) {
         std::vector<interrupted_request> interrupted;
+        interrupted.reserve(requests.size());
         for (const part_list& each : requests) {
             interrupted.push_back({each, false, 0ms});
         }
@@ -250,8 +251,10 @@
 }
 
 TEST_F(request_quarantine_test, store_gets_no_more_than_its_bound_whatever_is_in_quarantine) {
+    constexpr int request_count = 500;
     std::vector<part_list> requests;
-    for (int i = 0; i < 500; ++i) {
+    requests.reserve(request_count);
+    for (int i = 0; i < request_count; ++i) {
         requests.push_back(plain_request("/deadly/" + std::to_string(i)));
     }
     crash_in_turn(3, requests);
