Quarantine: a question without an address is malformed, and routers that asked enough look at no list again

Found on reading the change: an empty address meant "all routers" one call further down, so a question that lacks its field from would have had the answer sent to every router. Now it is rejected like any malformed notice. Besides, the list of routers was copied in each round of 200 to 400 ms although nothing was left to ask. What routers tell one another stays as it was.

--- a/src/quarantine/quarantine_sync.h
+++ b/src/quarantine/quarantine_sync.h
@@ -92,6 +92,9 @@
 
     /// Asks routers that were not asked before, until enough were.
     void ask_routers(const std::string& own_address) {
+        if (asked_routers_.size() >= max_asked_routers) {
+            return; // So it is in all rounds but the first ones.
+        }
         for (const std::string& router : channel_.peers()) {
             if (asked_routers_.size() >= max_asked_routers) {
                 return;
@@ -139,8 +142,7 @@
 
     result<done> handle_notice(const Json::Value& notice) {
         if (bool_member(notice, "asks")) {
-            send_in_notices(quarantine_.evidence_for_new_router(), string_member(notice, "from"));
-            return done{};
+            return answer_question(string_member(notice, "from"));
         }
         const auto evidence = parse_evidence(member(notice, "parts"));
         if (!evidence) {
@@ -150,6 +152,14 @@
         return done{};
     }
 
+    result<done> answer_question(const std::string& router) {
+        if (router.empty()) {
+            return make_failure(errc::malformed, "parse quarantine notice", "", "field \"from\" is missing");
+        }
+        send_in_notices(quarantine_.evidence_for_new_router(), router);
+        return done{};
+    }
+
     /// An object that the store lacks was lost with an older copy, or never written; this router writes what
     /// it knows again.
     void accept_listing(const object_listing& all) {
@@ -205,9 +215,9 @@
     part_quarantine& quarantine_;
     notice_channel& channel_;
     event_sink_function log_;
-    evidence_by_part stored_; ///< Content of the stored object, as this router knows it.
-    std::set<std::string> asked_routers_;
-    store_position position_; ///< Position of that object; revision 0 if it does not exist.
+    evidence_by_part stored_;             ///< Content of the stored object, as this router knows it.
+    std::set<std::string> asked_routers_; ///< Addresses of the routers that were asked after the start.
+    store_position position_;             ///< Position of that object; revision 0 if it does not exist.
     backoff backoff_{initial_retry_delay, max_retry_delay};
 };
 
