Gateway: log which request a refusal names, and whether a request may have run when it was answered

Each refused attempt now has `subject`, `states_not_run` and `names_intended_server`; the line of a request has `sends` and `may_have_run`; `backend_refusals` counts refusals by subject. No decision changed.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -5,6 +5,7 @@
 
 #include "budgets/budget_keeper.h"
 #include "eelgrassgw/base/hash.h"
+#include "eelgrassgw/base/not_run_status.h"
 #include "gateway/backend_reply.h"
 #include "gateway/caller_answer.h"
 #include "gateway/exchange_control.h"
@@ -123,7 +124,8 @@
     std::vector<std::string> list_parts() const;
     void note_server_notice(tracked_backend& server, const reply_head& head, answer_kind kind);
     void note_server_limit(tracked_backend& server, const server_notice& notice, answer_kind kind);
-    void log_reply(const backend_reply& reply);
+    void log_reply(const backend_reply& reply, const std::string& server_id);
+    void log_evidence(const reply_evidence& evidence);
     bool can_continue_answer(const reply_head& head) const;
     void avoid_server(tracked_backend& server, milliseconds duration) {
         server.avoid_until = clock::now() + duration;
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -71,7 +71,7 @@
         return core_.protocol.classify_reply(head, terms_, history);
     };
     const answer_kind kind = co_await reply.read_head(classify);
-    log_reply(reply);
+    log_reply(reply, server->server.id);
     if (reply.has_head()) {
         note_server_notice(*server, reply.head(), kind);
     }
@@ -140,15 +140,28 @@
 
 /// Adds the status of the reply to the log, and those of the replies to other requests before it.
 template <class Core>
-void exchange<Core>::log_reply(const backend_reply& reply) {
+void exchange<Core>::log_reply(const backend_reply& reply, const std::string& server_id) {
     if (reply.has_head()) {
         attempt_fields_["status"] = reply.head().result_int();
+        log_evidence(core_.protocol.read_evidence(reply.head(), terms_, server_id));
     }
     for (const unsigned status : reply.skipped_statuses()) {
         attempt_fields_["skipped_statuses"].append(status);
     }
 }
 
+/// Adds what a refusal says about the request to the log, and counts it.
+template <class Core>
+void exchange<Core>::log_evidence(const reply_evidence& evidence) {
+    if (!evidence.states_not_run && !promises_not_run(evidence.status)) {
+        return;
+    }
+    attempt_fields_["subject"] = name_of(evidence.subject);
+    attempt_fields_["states_not_run"] = evidence.states_not_run;
+    attempt_fields_["names_intended_server"] = evidence.names_intended_server;
+    core_.metrics.count("backend_refusals", {{"subject", name_of(evidence.subject)}});
+}
+
 /// Applies what the server states about itself in the head of an answer.
 template <class Core>
 void exchange<Core>::note_server_notice(tracked_backend& server, const reply_head& head, answer_kind kind) {
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -90,6 +90,8 @@
     fields["request"] = terms_.id;
     fields["outcome"] = outcome_;
     fields["status"] = answer_.status();
+    fields["sends"] = attempts_sent_;
+    fields["may_have_run"] = may_have_run_;
     fields["took_ms"] = Json::Int64(elapsed().count());
     fields["configuration"] = Json::UInt64(configuration_ == nullptr ? 0 : configuration_->version());
     fields["route"] = route_ == nullptr ? "" : route_->name;
