One place decides whether a caller may be told "not run"; a refusal proves it only if it names the request

What callers saw: 503 for a booking or stream that then ran. Cause: on a connection's first request a refusal without an id counted as proof, and so did a refusal that contradicts itself (a success or a 504 with "not executed", a 421 of the very server that was asked). A server that writes such bytes and runs the request breaks the promise.

Change: the adapter only decodes (`read_evidence`); `judge_reply` says what a reply proves, `send_record` counts the sends without a proof, and every refusal passes `send_record::choose_reason`, which turns a promise into 502 or 504 while such a send exists.

A test is replaced: `refusal_without_an_id_leads_to_the_next_server` asked for what is wrong here.

--- a/src/gateway/backend_reply.h
+++ b/src/gateway/backend_reply.h
@@ -2,7 +2,7 @@
 
 /// Reads one backend server's reply from a connection.
 
-#include "gateway/request_terms.h"
+#include "gateway/reply_evidence.h"
 #include "net/connection_pool.h"
 
 #include <boost/beast/http/buffer_body.hpp>
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/gateway_core.h"
 #include "gateway/refusal.h"
 #include "gateway/retry_advice.h"
+#include "gateway/send_record.h"
 #include "placing/placement.h"
 #include "quarantine/request_fingerprint.h"
 #include "streams/event_splitter.h"
@@ -115,6 +116,7 @@
     task<attempt_outcome> forward_body(tracked_backend& server, backend_reply& reply, answer_kind kind);
     task<void> send_final_answer(attempt_outcome last);
     refusal final_refusal(attempt_outcome last) const;
+    refusal withhold_unproved_promise(refusal rejection) const;
     task<void> refuse(refusal rejection);
     bool is_next_attempt_allowed(attempt_outcome last);
     std::shared_ptr<tracked_backend> choose_server();
@@ -124,7 +126,7 @@
     std::vector<std::string> list_parts() const;
     void note_server_notice(tracked_backend& server, const reply_head& head, answer_kind kind);
     void note_server_limit(tracked_backend& server, const server_notice& notice, answer_kind kind);
-    void log_reply(const backend_reply& reply, const std::string& server_id);
+    void log_skipped_replies(const backend_reply& reply);
     void log_evidence(const reply_evidence& evidence);
     bool can_continue_answer(const reply_head& head) const;
     void avoid_server(tracked_backend& server, milliseconds duration) {
@@ -162,8 +164,7 @@
     tokens reserved_tokens_ = 0;
     tokens charged_tokens_ = 0; ///< Part of `reserved_tokens_` that the customer is charged.
     std::vector<std::string> tried_server_ids_;
-    int attempts_sent_ = 0; ///< Number of backend servers that the request was sent to.
-    bool may_have_run_ = false;
+    send_record sends_;         ///< What is known of the sends to backend servers.
     bool is_probe_ = false;     ///< Whether the request finds out for all routers if its parts are harmless.
     attempt_progress progress_; ///< Progress of the current attempt.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
@@ -192,7 +193,7 @@
     }
     timeout_timer_.cancel();
     control_.finish();
-    if (is_probe_ && attempts_sent_ == 0) {
+    if (is_probe_ && sends_.send_count() == 0) {
         core_.quarantine.return_probe(parts_);
     }
     settle_budget();
@@ -289,7 +290,7 @@
 template <class Core>
 bool exchange<Core>::is_kept_back() const {
     const std::optional<quarantined_part> found = find_quarantined_part();
-    const bool is_unsent_probe = is_probe_ && attempts_sent_ == 0;
+    const bool is_unsent_probe = is_probe_ && sends_.send_count() == 0;
     return found && !(is_unsent_probe && found->may_be_probed);
 }
 
@@ -364,16 +365,16 @@
         }
         const std::shared_ptr<tracked_backend> server = choose_server();
         if (server == nullptr) {
-            co_return co_await send_final_answer(attempts_sent_ > 0 ? attempt_outcome::not_run
-                                                                    : attempt_outcome::not_sent);
+            co_return co_await send_final_answer(sends_.send_count() > 0 ? attempt_outcome::not_run
+                                                                         : attempt_outcome::not_sent);
         }
         tried_server_ids_.push_back(server->server.id);
         attempt_fields_ = Json::objectValue;
         attempt_fields_["server"] = server->server.id;
-        const int sent_before = attempts_sent_;
+        const int sent_before = sends_.send_count();
         core_.server_limits.note_request(*server); // No other request may take its place meanwhile.
         const attempt_outcome outcome = co_await send_to(server);
-        if (attempts_sent_ == sent_before) {
+        if (sends_.send_count() == sent_before) {
             server->limit.give_back(clock::now());
         }
         attempt_fields_["end"] = name_of(outcome);
@@ -403,7 +404,8 @@
     const bool stream_allows_it = last != attempt_outcome::broken_midway || (route_->resumable && can_resume);
     const bool repeatable = (proved_not_run || may_run_again(*route_)) && stream_allows_it;
     const int max_servers = route_->max_backend_servers + (last == attempt_outcome::wrong_server ? 1 : 0);
-    return repeatable && attempts_sent_ < max_servers && core_.retries.take_retry(service_, clock::now());
+    return repeatable && sends_.send_count() < max_servers &&
+           core_.retries.take_retry(service_, clock::now());
 }
 
 template <class Core>
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -25,19 +25,17 @@
 
 /// Requirements on the protocol between callers, the gateway and backend servers. `decode` parses the
 /// metadata of a caller's request, `make_backend_request` builds the request for a backend server,
-/// `read_evidence` decodes what the head of the server's answer says about the request, `classify_reply`
-/// classifies the head of the server's answer, `read_server_notice` decodes what the server states about
-/// itself there, and `make_caller_head` builds the head for the caller. `add_request_id` adds the request's
-/// id to an answer that the gateway itself generates.
+/// `read_evidence` decodes what the head of the server's answer says about the request, `read_server_notice`
+/// what it says about the server, and `make_caller_head` builds the head for the caller. `add_request_id`
+/// adds the request's id to an answer that the gateway itself generates.
 template <class T>
 concept caller_protocol = requires(const T protocol, const text_request& request, const request_terms& terms,
                                    const backend_request_metadata& metadata,
                                    const http::response_header<>& head, const std::string& server_id,
-                                   connection_history history, text_reply& own) {
+                                   text_reply& own) {
     { protocol.decode(request) } -> std::same_as<result<request_terms>>;
     { protocol.make_backend_request(request, terms, metadata) } -> std::same_as<text_request>;
     { protocol.read_evidence(head, terms, server_id) } -> std::same_as<reply_evidence>;
-    { protocol.classify_reply(head, terms, history) } -> std::same_as<answer_kind>;
     { protocol.read_server_notice(head) } -> std::same_as<server_notice>;
     {protocol.add_request_id(own, terms)};
     { protocol.make_caller_head(head) } -> std::same_as<http::response_header<>>;
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -32,9 +32,7 @@
     server->begin_request(clock::now());
     unread_prompt_.emplace(core_.long_prompts, server, terms_.prompt ? terms_.prompt->unshared_tokens() : 0);
     control_.attach_upstream(upstream->socket);
-    const bool may_have_run_before = may_have_run_;
-    may_have_run_ = true;
-    ++attempts_sent_;
+    sends_.begin_send();
     progress_ = {};
     progress_.sent_at = clock::now();
     const attempt_outcome outcome = co_await send_and_receive(server, *upstream);
@@ -45,7 +43,7 @@
     --server->running_requests;
     unread_prompt_.reset();
     if (outcome == attempt_outcome::not_run || outcome == attempt_outcome::wrong_server) {
-        may_have_run_ = may_have_run_before;
+        sends_.prove_not_run();
     }
     co_return outcome;
 }
@@ -67,11 +65,13 @@
     co_await http::async_write(upstream.socket, outgoing, with_error(ec));
     // A server may answer before it has read the whole request, so a failed write does not end the attempt.
     backend_reply reply(upstream, request_.method() == http::verb::head);
-    const backend_reply::head_classifier classify = [this, history](const reply_head& head) {
-        return core_.protocol.classify_reply(head, terms_, history);
+    const backend_reply::head_classifier classify = [&](const reply_head& head) {
+        const reply_evidence evidence = core_.protocol.read_evidence(head, terms_, metadata.server_id);
+        log_evidence(evidence);
+        return judge_reply(evidence, history);
     };
     const answer_kind kind = co_await reply.read_head(classify);
-    log_reply(reply, server->server.id);
+    log_skipped_replies(reply);
     if (reply.has_head()) {
         note_server_notice(*server, reply.head(), kind);
     }
@@ -110,7 +110,7 @@
     if (outcome == attempt_outcome::answered) {
         note_whole_answer();
     }
-    const bool declined = kind == answer_kind::not_run || kind == answer_kind::wrong_server;
+    const bool declined = proves_not_run(kind);
     if (declined) {
         avoid_server(server, kind == answer_kind::not_run ? avoid_declined_time : avoid_wrong_server_time);
         outcome = kind == answer_kind::not_run ? attempt_outcome::not_run : attempt_outcome::wrong_server;
@@ -138,21 +138,18 @@
     return !answer_.started() || type.empty() || type.starts_with("text/event-stream");
 }
 
-/// Adds the status of the reply to the log, and those of the replies to other requests before it.
+/// Adds the statuses of the replies to other requests to the log.
 template <class Core>
-void exchange<Core>::log_reply(const backend_reply& reply, const std::string& server_id) {
-    if (reply.has_head()) {
-        attempt_fields_["status"] = reply.head().result_int();
-        log_evidence(core_.protocol.read_evidence(reply.head(), terms_, server_id));
-    }
+void exchange<Core>::log_skipped_replies(const backend_reply& reply) {
     for (const unsigned status : reply.skipped_statuses()) {
         attempt_fields_["skipped_statuses"].append(status);
     }
 }
 
-/// Adds what a refusal says about the request to the log, and counts it.
+/// Adds the status of a reply to the log, and what a refusal says about the request.
 template <class Core>
 void exchange<Core>::log_evidence(const reply_evidence& evidence) {
+    attempt_fields_["status"] = evidence.status;
     if (!evidence.states_not_run && !promises_not_run(evidence.status)) {
         return;
     }
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -20,7 +20,7 @@
         co_return;
     }
     const bool out_of_time = last == attempt_outcome::cancelled;
-    if (may_have_run_ && held_failure_ && !out_of_time) {
+    if (sends_.may_have_run() && held_failure_ && !out_of_time) {
         outcome_ = "backend_failure";
         co_await answer_.send_whole(std::move(*held_failure_));
         co_return;
@@ -33,7 +33,7 @@
 template <class Core>
 refusal exchange<Core>::final_refusal(attempt_outcome last) const {
     const bool out_of_time = last == attempt_outcome::cancelled;
-    if (may_have_run_) {
+    if (sends_.may_have_run()) {
         return {out_of_time ? refusal_reason::timeout : refusal_reason::backend_failed, error_, {}};
     }
     if (out_of_time) {
@@ -57,8 +57,21 @@
             retry_after_overload};
 }
 
+/// Returns the refusal that the caller gets in place of `rejection`: one that makes no promise which is not
+/// proved.
+template <class Core>
+refusal exchange<Core>::withhold_unproved_promise(refusal rejection) const {
+    const refusal_reason reason = sends_.choose_reason(rejection.reason);
+    if (reason != rejection.reason) {
+        rejection.reason = reason;
+        rejection.retry_after.reset();
+    }
+    return rejection;
+}
+
 template <class Core>
 task<void> exchange<Core>::refuse(refusal rejection) {
+    rejection = withhold_unproved_promise(std::move(rejection));
     outcome_ = name_of(rejection.reason);
     error_ = rejection.message;
     if (rejection.reason == refusal_reason::draining) {
@@ -90,8 +103,8 @@
     fields["request"] = terms_.id;
     fields["outcome"] = outcome_;
     fields["status"] = answer_.status();
-    fields["sends"] = attempts_sent_;
-    fields["may_have_run"] = may_have_run_;
+    fields["sends"] = sends_.send_count();
+    fields["may_have_run"] = sends_.may_have_run();
     fields["took_ms"] = Json::Int64(elapsed().count());
     fields["configuration"] = Json::UInt64(configuration_ == nullptr ? 0 : configuration_->version());
     fields["route"] = route_ == nullptr ? "" : route_->name;
--- a/src/gateway/reply_evidence.h
+++ b/src/gateway/reply_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// What the head of a backend server's reply says about the request that was sent.
+/// Decides what the head of a backend server's reply proves about the request that was sent. Needs no
+/// network.
 
 namespace eelgrassgw {
 
@@ -23,4 +24,30 @@
     bool is_genuine = false;            ///< Whether it is signed and its body is not encoded.
 };
 
+/// The requests that the connection of a reply has carried.
+enum class connection_history {
+    first_request, ///< Only the request that was sent.
+    reused,        ///< Earlier ones too, whose replies may still arrive.
+};
+
+/// Classification of a backend server's reply by its head.
+enum class answer_kind {
+    success,       ///< A genuine answer to this request.
+    failure,       ///< The server failed; it ran the request or may have run it.
+    not_run,       ///< The server states that it did not run the request.
+    wrong_server,  ///< Another server uses the address; it did not run the request.
+    other_request, ///< The reply belongs to another request.
+    invalid,       ///< The reply must not be forwarded to a caller, and proves nothing.
+};
+
+/// Returns whether a reply of this kind proves that the request was not run and never will be.
+constexpr bool proves_not_run(answer_kind kind) {
+    return kind == answer_kind::not_run || kind == answer_kind::wrong_server;
+}
+
+/// Classifies a reply. A refusal proves something only if it names the request, since a server repeats the id
+/// of a request in each reply. Precondition: the connection carried the request once, so that the reply
+/// cannot belong to an earlier send of it. Thread-safe.
+answer_kind judge_reply(const reply_evidence& evidence, connection_history history);
+
 } // namespace eelgrassgw
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -69,20 +69,4 @@
     bool has_unreadable_limit = false;
 };
 
-/// Whether an answer that names no request can only belong to the request that was sent.
-enum class connection_history {
-    first_request, ///< The request is the first one on its connection.
-    reused,        ///< Bytes may still arrive that belong to an earlier request.
-};
-
-/// Classification of a backend server's answer by its head.
-enum class answer_kind {
-    success,       ///< A genuine answer to this request.
-    failure,       ///< The server failed; it ran the request or may have run it.
-    not_run,       ///< The server states that it did not run the request.
-    wrong_server,  ///< Another server uses the address; it did not run the request.
-    other_request, ///< The answer belongs to another request.
-    invalid,       ///< The answer must not be forwarded to a caller.
-};
-
 } // namespace eelgrassgw
--- a/test/gateway/late_refusal_test.cpp
+++ b/test/gateway/late_refusal_test.cpp
@@ -132,25 +132,21 @@
 
 using first_request_test = late_refusal_fixture;
 
-// On a connection without an earlier request, a refusal that names no request belongs to the one that was
-// sent.
-TEST_F(first_request_test, refusal_without_an_id_leads_to_the_next_server) {
+// A server repeats the id of a request in each answer, so a refusal without one may have been written before
+// the request was read.
+TEST_F(first_request_test, refusal_without_an_id_is_no_proof_and_leads_to_no_other_server) {
     for (const char* id : {"s1", "s2", "s3", "s4"}) {
-        const bool refuses = std::string(id) != "s4";
-        add_backend(id, "plain", [refuses](backend_exchange& e) -> task<void> {
-            if (refuses) {
-                co_await e.write(
-                    "HTTP/1.1 421 Misdirected Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-                e.break_off(false);
-                co_return;
-            }
-            co_await e.answer(200, "booked");
+        add_backend(id, "plain", [](backend_exchange& e) -> task<void> {
+            co_await e.write(
+                "HTTP/1.1 421 Misdirected Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            e.break_off(false);
         });
     }
     configure({{"/book/", "non_idempotent", "plain", 4}}, 2);
     run([&]() -> task<void> {
         const auto answer = co_await call(request("POST", "/book/", "", "b"));
-        EXPECT_EQ("booked", answer ? answer->body() : "no answer");
+        EXPECT_EQ(502U, answer ? answer->result_int() : 0);
+        EXPECT_EQ(1U, count_arrived_requests());
     });
 }
 
