A request is never sent twice over one connection, so that a repeated refusal proves nothing about a later send

What callers saw: 503 for a booking that then ran, or a booking that ran twice. Cause: the id tells requests apart, not sends. A server that has restarted at its address answers 421 to a request for its old entry; the router then tries the new entry over the same connection, and takes the same 421, written once more, for the answer to that send. A caller that comes again with its id meets the same.

Change: a connection remembers which requests its server has refused there; such a request gets another connection. So the pair of connection and id stands for exactly one send. Connections with more than 256 refusals are not kept.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -106,6 +106,7 @@
     void start_timeout();
     task<std::optional<refusal>> reserve_budget();
     task<void> send_until_answered();
+    task<result<std::unique_ptr<connection>>> open_connection(std::string address);
     task<attempt_outcome> send_to(std::shared_ptr<tracked_backend> server);
     task<attempt_outcome> send_and_receive(std::shared_ptr<tracked_backend> server, connection& upstream);
     task<attempt_outcome> forward_answer(tracked_backend& server, connection& upstream, backend_reply& reply,
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -7,10 +7,24 @@
 
 namespace eelgrassgw {
 
+/// Opens a connection on which the peer has not refused the request before. That refusal could arrive once
+/// more and be taken for an answer to the next send.
+template <class Core>
+task<result<std::unique_ptr<connection>>> exchange<Core>::open_connection(std::string address) {
+    const std::uint64_t id_hash = stable_hash(terms_.id);
+    for (;;) {
+        const milliseconds timeout = std::min(connect_timeout, time_left());
+        result<std::unique_ptr<connection>> opened = co_await core_.pool.open(address, timeout);
+        if (!opened || !opened.value()->has_refused(id_hash)) {
+            co_return std::move(opened);
+        }
+    }
+}
+
 /// Sends the request to `server` and forwards its answer to the caller.
 template <class Core>
 task<attempt_outcome> exchange<Core>::send_to(std::shared_ptr<tracked_backend> server) {
-    auto opened = co_await core_.pool.open(server->server.address, std::min(connect_timeout, time_left()));
+    auto opened = co_await open_connection(server->server.address);
     if (!opened) {
         error_ = opened.error().text();
         avoid_server(*server, avoid_unreachable_time);
@@ -112,6 +126,7 @@
     }
     const bool declined = proves_not_run(kind);
     if (declined) {
+        upstream.refused_requests.push_back(stable_hash(terms_.id));
         avoid_server(server, kind == answer_kind::not_run ? avoid_declined_time : avoid_wrong_server_time);
         outcome = kind == answer_kind::not_run ? attempt_outcome::not_run : attempt_outcome::wrong_server;
     }
@@ -126,6 +141,7 @@
         auto idle = std::make_unique<connection>(std::move(upstream.socket));
         idle->peer = upstream.peer;
         idle->requests_sent = upstream.requests_sent;
+        idle->refused_requests = std::move(upstream.refused_requests);
         core_.pool.keep(std::move(idle), reuse_time);
     }
     co_return outcome;
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -64,7 +64,9 @@
 
 void connection_pool::keep(std::unique_ptr<connection> idle, std::chrono::milliseconds keep_for) {
     auto& list = idle_[idle->peer];
-    if (list.size() >= max_idle_connections_per_peer || keep_for <= std::chrono::milliseconds(0)) {
+    const bool has_room =
+        list.size() < max_idle_connections_per_peer && idle->refused_requests.size() <= max_refused_requests;
+    if (!has_room || keep_for <= std::chrono::milliseconds(0)) {
         return;
     }
     idle->keep_until = clock::now() + keep_for;
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -7,8 +7,10 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +24,11 @@
 
     explicit connection(tcp::socket opened) : socket(std::move(opened)) {}
 
+    /// Returns whether the peer has refused the caller's request whose id has this hash on the connection.
+    bool has_refused(std::uint64_t id_hash) const {
+        return std::find(refused_requests.begin(), refused_requests.end(), id_hash) != refused_requests.end();
+    }
+
     /// Largest number of bytes that are read ahead of the parser. A reply whose head, chunk header or trailer
     /// exceeds this is rejected.
     static constexpr std::size_t max_unparsed_bytes = 128U << 10U;
@@ -31,6 +38,8 @@
     std::string peer;                                     ///< Address of the server (IP:port).
     clock::time_point keep_until{};                       ///< Time at which an idle connection expires.
     int requests_sent = 0; ///< Number of callers' requests that were sent on the connection.
+    /// Hashes of the ids of callers' requests that the peer has refused on the connection.
+    std::vector<std::uint64_t> refused_requests;
 };
 
 /// Opens connections and reuses idle ones. Not thread-safe: all tasks run on one thread.
@@ -42,6 +51,8 @@
     /// connection.
     static constexpr std::chrono::milliseconds unacknowledged_timeout{2500};
     static constexpr std::size_t max_idle_connections_per_peer = 32;
+    /// Largest number of refused requests that a connection remembers. One with more is not kept.
+    static constexpr std::size_t max_refused_requests = 256;
     /// Time for which an idle connection is kept if the server does not announce a timeout.
     static constexpr std::chrono::milliseconds default_reuse_time{4000};
 
