A caller that repeats a request with its id is not told "not run" while the earlier attempt may have run

What callers saw: 502 for a booking, then 503 ("not run, and never will be") for the same booking with the same id; the first one had run, or ran later at a paused server. Cause: each exchange knew its own sends only. The platform gives each attempt an id of its own, so this needs a caller that does not.

The refusal for too many large bodies passes the same decision now. Limit: a router knows its own sends; another router does not.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -41,8 +41,6 @@
 
     /// Time that the caller may leave sent data unacknowledged before the connection is closed.
     static constexpr std::chrono::milliseconds unacknowledged_data_timeout{5000};
-    /// Largest total body size of all requests in progress.
-    static constexpr std::size_t max_body_bytes_in_use = 48U << 20U;
     /// Largest number of bytes of later requests that are read while a request is served.
     static constexpr std::size_t max_read_ahead_bytes = 64U << 10U;
 
@@ -212,12 +210,6 @@
 
 template <class Core>
 task<bool> caller_session<Core>::serve(const text_request& request, clock::time_point started) {
-    if (core_.body_bytes_in_use > max_body_bytes_in_use) {
-        refusal rejection{refusal_reason::overloaded, "too many large requests are in progress",
-                          exchange<Core>::retry_after_overload};
-        co_await refuse_unread_request(std::move(rejection));
-        co_return false;
-    }
     auto control = std::make_shared<exchange_control>(caller_);
     current_control_ = control;
     auto watch_done = std::make_shared<asio::steady_timer>(core_.context, clock::time_point::max());
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -76,6 +76,8 @@
     /// Retry-After time while the configuration, the budget or every backend server is unavailable.
     static constexpr milliseconds retry_after_outage{800};
 
+    /// Largest total body size of all requests in progress.
+    static constexpr std::size_t max_body_bytes_in_use = 48U << 20U;
     /// Number of unreachable servers after which the request is refused.
     static constexpr int max_unreachable_servers = 4;
     /// Largest event of a stream. An answer with a larger one is broken off.
@@ -97,6 +99,8 @@
     task<bool> serve();
 
 private:
+    void decode_terms();
+    bool is_sent_by_another_attempt() const;
     std::optional<refusal> check_admission();
     std::optional<refusal> check_request();
     std::optional<quarantined_part> find_quarantined_part() const;
@@ -107,6 +111,8 @@
     task<std::optional<refusal>> reserve_budget();
     task<void> send_until_answered();
     task<result<std::unique_ptr<connection>>> open_connection(std::string address);
+    void note_send();
+    void note_proof_of_not_run();
     task<attempt_outcome> send_to(std::shared_ptr<tracked_backend> server);
     task<attempt_outcome> send_and_receive(std::shared_ptr<tracked_backend> server, connection& upstream);
     task<attempt_outcome> forward_answer(tracked_backend& server, connection& upstream, backend_reply& reply,
@@ -161,7 +167,8 @@
     const customer* customer_ = nullptr;
     std::string service_;
     request_terms terms_;
-    std::vector<std::string> parts_; ///< What the request has in common with others, for the quarantine.
+    std::optional<failure> malformed_; ///< Why the request's metadata cannot be decoded.
+    std::vector<std::string> parts_;   ///< What the request has in common with others, for the quarantine.
     tokens reserved_tokens_ = 0;
     tokens charged_tokens_ = 0; ///< Part of `reserved_tokens_` that the customer is charged.
     std::vector<std::string> tried_server_ids_;
@@ -183,6 +190,7 @@
 template <class Core>
 task<bool> exchange<Core>::serve() {
     deadline_ = started_ + std::chrono::hours(1);
+    decode_terms();
     std::optional<refusal> refused = check_admission();
     if (!refused) {
         refused = co_await reserve_budget();
@@ -202,8 +210,34 @@
     co_return answer_.connection_reusable() && !control_.cancelled();
 }
 
+template <class Core>
+void exchange<Core>::decode_terms() {
+    result<request_terms> decoded = core_.protocol.decode(request_);
+    if (decoded) {
+        terms_ = std::move(decoded.value());
+    } else {
+        malformed_ = decoded.error();
+    }
+}
+
+/// Returns whether the caller has sent the same request before, so that it may have run and must not run
+/// again.
+template <class Core>
+bool exchange<Core>::is_sent_by_another_attempt() const {
+    return !sends_.may_have_run() && core_.unrepeatable.contains(terms_.id);
+}
+
 template <class Core>
 std::optional<refusal> exchange<Core>::check_admission() {
+    if (is_sent_by_another_attempt()) {
+        sends_.note_earlier_attempt();
+        return refusal{refusal_reason::already_sent, "the request was sent before and may have run", {}};
+    }
+    if (core_.body_bytes_in_use > max_body_bytes_in_use) {
+        answer_.close_connection_afterwards();
+        return refusal{refusal_reason::overloaded, "too many large requests are in progress",
+                       retry_after_overload};
+    }
     if (configuration_ == nullptr) {
         return refusal{refusal_reason::no_configuration, "no configuration is known yet", retry_after_outage};
     }
@@ -223,11 +257,9 @@
 
 template <class Core>
 std::optional<refusal> exchange<Core>::check_request() {
-    result<request_terms> decoded = core_.protocol.decode(request_);
-    if (!decoded) {
-        return refusal{refusal_reason::malformed, decoded.error().message, {}};
+    if (malformed_) {
+        return refusal{refusal_reason::malformed, malformed_->message, {}};
     }
-    terms_ = std::move(decoded.value());
     start_timeout();
     if (route_->needs_key && configuration_->has_customers()) {
         customer_ = terms_.api_key ? configuration_->find_customer_by_key(*terms_.api_key) : nullptr;
@@ -361,6 +393,10 @@
         if (control_.cancelled() || time_left() < min_attempt_time) {
             co_return co_await send_final_answer(attempt_outcome::cancelled);
         }
+        if (is_sent_by_another_attempt()) { // It was sent while this attempt waited.
+            sends_.note_earlier_attempt();
+            co_return co_await send_final_answer(attempt_outcome::not_sent);
+        }
         if (is_kept_back()) { // The part may have got into quarantine during an earlier attempt.
             co_return co_await send_final_answer(attempt_outcome::not_sent);
         }
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -34,6 +34,7 @@
     reason_entry{refusal_reason::draining, "draining", http::status::service_unavailable},
     reason_entry{refusal_reason::caller_deadline, "caller_deadline", http::status::service_unavailable},
     reason_entry{refusal_reason::timeout, "timeout", http::status::gateway_timeout},
+    reason_entry{refusal_reason::already_sent, "already_sent", http::status::bad_gateway},
     reason_entry{refusal_reason::backend_failed, "backend_failed", http::status::bad_gateway},
 };
 
--- a/src/gateway/send_record.cpp
+++ b/src/gateway/send_record.cpp
@@ -9,8 +9,10 @@
     if (!promises || !may_have_run()) {
         return wanted;
     }
-    return wanted == refusal_reason::caller_deadline ? refusal_reason::timeout
-                                                     : refusal_reason::backend_failed;
+    if (wanted == refusal_reason::caller_deadline) {
+        return refusal_reason::timeout;
+    }
+    return has_earlier_attempt_ ? refusal_reason::already_sent : refusal_reason::backend_failed;
 }
 
 } // namespace eelgrassgw
--- a/src/gateway/send_record.h
+++ b/src/gateway/send_record.h
@@ -21,11 +21,17 @@
     /// Precondition: the proof is of that send.
     void prove_not_run() { --unproved_sends_; }
 
+    /// Records that the same request may have been sent for an earlier attempt of its caller.
+    void note_earlier_attempt() { has_earlier_attempt_ = true; }
+
     /// Returns the number of sends.
     int send_count() const { return send_count_; }
 
+    /// Returns whether the request may have been sent for an earlier attempt of its caller.
+    bool has_earlier_attempt() const { return has_earlier_attempt_; }
+
     /// Returns whether the request may have run or may still run.
-    bool may_have_run() const { return unproved_sends_ > 0; }
+    bool may_have_run() const { return unproved_sends_ > 0 || has_earlier_attempt_; }
 
     /// Returns the reason that the caller is given in place of `wanted`, whose status may promise that the
     /// request was not run: `wanted` itself if the promise holds or is not made.
@@ -34,6 +40,7 @@
 private:
     int send_count_ = 0;
     int unproved_sends_ = 0; ///< Number of sends that may run or have run.
+    bool has_earlier_attempt_ = false;
 };
 
 } // namespace eelgrassgw
--- a/test/gateway/send_record_test.cpp
+++ b/test/gateway/send_record_test.cpp
@@ -56,5 +56,14 @@
     EXPECT_EQ(refusal_reason::overloaded, record.choose_reason(refusal_reason::overloaded));
 }
 
+TEST(send_record_test, earlier_attempt_of_the_caller_withholds_each_promise) {
+    send_record record;
+    record.note_earlier_attempt();
+    for (int i = 0; i < reason_count; ++i) {
+        EXPECT_FALSE(promises(record.choose_reason(refusal_reason(i)))) << name_of(refusal_reason(i));
+    }
+    EXPECT_EQ(refusal_reason::already_sent, record.choose_reason(refusal_reason::draining));
+}
+
 } // namespace
 } // namespace eelgrassgw
