Older interface: an engine's failure counts as "not run" only if the engine knows no such completion

What callers saw: 503, `ran: no`, for a completion that the engine had begun before it failed. Cause: `engine_backend` took each status but 200 for a refusal, also 500, and 409 for an id that runs already. Change: it asks the engine for the run; 404 proves that there is none, anything else is settled as a run that broke: with the engine's own usage, or withheld.

--- a/src/agent/engine_backend.cpp
+++ b/src/agent/engine_backend.cpp
@@ -116,8 +116,10 @@
         return not_run(stream.error().text());
     }
     if (stream && stream.value()->status() != 200) {
-        return not_run("the engine refused with status " + std::to_string(stream.value()->status()) + ": " +
-                       stream.value()->read_rest());
+        return settle_refused_run(r, fencing_number,
+                                  "the engine refused with status " +
+                                      std::to_string(stream.value()->status()) + ": " +
+                                      stream.value()->read_rest());
     }
     std::optional<run_outcome> ended =
         stream ? read_events(*stream.value(), r, fencing_number) : std::nullopt;
@@ -137,6 +139,18 @@
     return ended ? *ended : settle_broken_run(r, fencing_number, cause);
 }
 
+run_outcome engine_backend::settle_refused_run(run& r, std::uint64_t fencing_number,
+                                               const std::string& cause) {
+    http_request request;
+    request.path = "/v1/runs/" + engine_run_id(r.assigned_ticket());
+    const result<http_response> known = call_http(engine_, request, timeouts_);
+    constexpr int not_found = 404;
+    if (known && known.value().status == not_found) {
+        return not_run(cause);
+    }
+    return settle_broken_run(r, fencing_number, cause);
+}
+
 run_outcome engine_backend::settle_broken_run(run& r, std::uint64_t fencing_number,
                                               const std::string& cause) {
     const std::string id = engine_run_id(r.assigned_ticket());
