Older interface: a service's own 408, 421, 429 or 503 is not passed on as a promise

What callers saw: the service's 503 with "x-eelgrass-replayed", billed as a call that ran. Cause: `service_backend` passed every status on, and nothing proves that a call which got one of these did not run.

--- a/src/agent/service_backend.cpp
+++ b/src/agent/service_backend.cpp
@@ -1,9 +1,23 @@
 #include "eelgrassgw/agent/service_backend.h"
 
 #include "eelgrassgw/base/failpoint.h"
+#include "eelgrassgw/base/not_run_status.h"
 
 namespace eelgrassgw {
 
+namespace {
+
+/// Returns the outcome of a call of which nobody can say whether it ran.
+run_outcome may_have_run(const ticket& t, const std::string& cause) {
+    run_outcome outcome;
+    outcome.state = run_state::failed;
+    outcome.withheld = t.price;
+    outcome.message = "the call may have run; " + cause;
+    return outcome;
+}
+
+} // namespace
+
 run_outcome service_backend::execute(run& r, std::uint64_t /*fencing_number*/) {
     const ticket& t = r.assigned_ticket();
     http_request request;
@@ -29,10 +43,11 @@
         return outcome;
     }
     if (!response) {
-        outcome.state = run_state::failed;
-        outcome.withheld = t.price;
-        outcome.message = "no answer came; the call may have run: " + response.error().text();
-        return outcome;
+        return may_have_run(t, "no answer came: " + response.error().text());
+    }
+    if (promises_not_run(static_cast<unsigned>(response.value().status))) {
+        return may_have_run(t, "the service refused with status " + std::to_string(response.value().status) +
+                                   " and without a proof");
     }
     r.append_output(response.value().body, 0);
     outcome.state = run_state::done;
