Older interface: only an agent's refusal counts as one, not its internal error

What callers saw: 503, `ran: no`, or a second run at another agent, after an agent had failed with 500 while it streamed a run that it had started. Cause: each status but 200 was read as a refusal of the ticket. Change: 401 and 409 are refusals; after any other status the router asks for the run and bars the ticket, as after a lost answer.

--- a/include/eelgrassgw/router/agent_call.h
+++ b/include/eelgrassgw/router/agent_call.h
@@ -84,10 +84,10 @@
         if (stream.failed_with(errc::unreachable)) {
             return make_result(call_end::not_sent, stream.error().text(), position);
         }
-        if (stream && stream.value()->status() != status_accepted) {
+        if (stream && is_refusal(stream.value()->status())) {
             return read_refusal(*stream.value());
         }
-        if (stream) {
+        if (stream && stream.value()->status() == status_accepted) {
             forward_output(*stream.value(), agent, position, skipping);
         }
         return follow_run_to_end(agent, t, position, skipping);
@@ -116,6 +116,15 @@
 
 private:
     static constexpr int status_accepted = 200;
+
+    /// Returns whether an agent that answers a ticket with this HTTP status never runs it. Other failures,
+    /// such as an internal error, may come after the run has begun.
+    static constexpr bool is_refusal(int status) {
+        constexpr int unauthenticated = 401;
+        constexpr int conflict = 409;
+        return status == unauthenticated || status == conflict;
+    }
+
     static constexpr std::chrono::milliseconds retry_interval{100};
 
     /// A sink that discards the first `bytes_to_skip` bytes and forwards the rest to `sink`.
