Older interface: a status promises "not run" only if the error says so

What callers saw: 503 with `ran: unknown` for a request with a key that came to a router which starts, stops or cannot read claims; an earlier request with the key may have run. Cause: the status was chosen before that was known. Change: `caller_error::response_status`, through which each error passes, gives 504 or 502 in place of 408, 421, 429 and 503 unless the request is proved not to have run; code and body stay.

--- a/include/eelgrassgw/router/caller_error.h
+++ b/include/eelgrassgw/router/caller_error.h
@@ -19,7 +19,7 @@
 
 /// Describes one failure to a caller.
 struct caller_error {
-    int status = 500;    ///< HTTP status of the response.
+    int status = 500;    ///< HTTP status of the response, if it promises no more than `did_run` says.
     std::string code;    ///< Stable error code for programs, for example "budget_exhausted".
     std::string message; ///< Human-readable cause.
     ran_status did_run = ran_status::no;
@@ -34,6 +34,9 @@
 
     /// Returns a human-readable sentence about whether the request ran and whether to repeat it.
     std::string advice() const;
+    /// Returns the HTTP status of the response. A status which promises that the request was not run, such as
+    /// 503, is replaced by 502 or 504 unless that is proved.
+    int response_status() const;
     Json::Value to_json(const std::string& request_id) const;
     http_response to_response(const std::string& request_id) const;
 };
--- a/src/router/caller_error.cpp
+++ b/src/router/caller_error.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassgw/router/caller_error.h"
 
+#include "eelgrassgw/base/not_run_status.h"
+
 namespace eelgrassgw {
 
 const char* to_text(ran_status status) {
@@ -55,8 +57,17 @@
     return body;
 }
 
+int caller_error::response_status() const {
+    constexpr int bad_gateway = 502;
+    constexpr int gateway_timeout = 504;
+    if (did_run == ran_status::no || !promises_not_run(static_cast<unsigned>(status))) {
+        return status;
+    }
+    return did_run == ran_status::yes ? bad_gateway : gateway_timeout;
+}
+
 http_response caller_error::to_response(const std::string& request_id) const {
-    http_response response = json_response(status, to_json(request_id));
+    http_response response = json_response(response_status(), to_json(request_id));
     if (!request_id.empty()) {
         response.headers["x-request-id"] = request_id;
     }
