--- a/test/gateway/at_most_once_test.cpp
+++ b/test/gateway/at_most_once_test.cpp
@@ -113,8 +113,8 @@
 
 TEST_F(at_most_once_test, address_used_by_another_server_is_skipped) {
     add_backend("s1", "plain", [](backend_exchange& e) -> task<void> {
-        co_await e.write(
-            "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
+        co_await e.write("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + e.header("Attempt-Id") +
+                         "\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
     });
     add_backend("s2", "plain", answering("booked"));
     run([&]() -> task<void> {
--- a/test/gateway/endless_answer_test.cpp
+++ b/test/gateway/endless_answer_test.cpp
@@ -25,12 +25,20 @@
     return resident_pages * std::size_t(sysconf(_SC_PAGESIZE));
 }
 
+/// Stands for the id of the request in a head.
+const std::string this_id = "{id}";
+
 /// Returns a script that writes `head` and then `filler` again and again until the router closes the
 /// connection. `ended` is set once it has.
 scripted_backend::script_type writing_without_end(std::string head, std::string filler, bool& ended) {
     return [head, filler, &ended](backend_exchange& e) -> task<void> {
         const std::string genuine = head.starts_with("HTTP") ? "" : e.genuine_head(200);
-        co_await e.write(genuine + head);
+        const std::size_t id_mark = head.find(this_id);
+        const std::string named =
+            id_mark == std::string::npos
+                ? head
+                : std::string(head).replace(id_mark, this_id.size(), e.header("Attempt-Id"));
+        co_await e.write(genuine + named);
         while (co_await e.try_write(filler)) {
         }
         ended = true;
@@ -86,7 +94,8 @@
         endless_case{"head_fields", "X-First: 1\r\n", "X-Endless: " + std::string(500, 'x') + "\r\n"},
         endless_case{"failure_body", "HTTP/1.1 500 Failed\r\nConnection: close\r\n\r\n",
                      std::string(8000, 'x')},
-        endless_case{"declined_body", "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nConnection: close\r\n\r\n",
+        endless_case{"declined_body",
+                     "HTTP/1.1 503 Busy\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nConnection: close\r\n\r\n",
                      std::string(8000, 'x'), 503},
         endless_case{"answer_to_another_request",
                      "HTTP/1.1 200 OK\r\nAttempt-Id: stranger\r\nConnection: close\r\n\r\n",
--- a/test/gateway/streams_test.cpp
+++ b/test/gateway/streams_test.cpp
@@ -116,7 +116,8 @@
 
 TEST_F(streams_test, stream_continues_after_another_server_answered_at_the_address) {
     const auto answering_as_another_server = [](backend_exchange& e) -> task<void> {
-        co_await e.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 5\r\n\r\nother");
+        co_await e.write("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + e.header("Attempt-Id") +
+                         "\r\nContent-Length: 5\r\n\r\nother");
     };
     const script_sequence script({interrupting(), answering_as_another_server, streaming(5)});
     for (const char* id : {"s1", "s2", "s3"}) {
