--- /dev/null
+++ b/src/gateway/internal/exchange_forwarding.h
@@ -0,0 +1,143 @@
+#pragma once
+
+/// Member functions of `exchange` that forward the body of a backend server's reply to the caller. Included
+/// by exchange.h.
+
+#include "gateway/exchange.h"
+
+namespace eelgrassgw {
+
+/// Returns whether the body of a success can go to the caller. Once a stream has begun, only events can.
+template <class Core>
+bool exchange<Core>::can_continue_answer(const reply_head& head) const {
+    const auto type = head[http::field::content_type];
+    return !answer_.started() || type.empty() || type.starts_with("text/event-stream");
+}
+
+/// Forwards each event as soon as it is complete.
+template <class Core>
+task<attempt_outcome> exchange<Core>::forward_stream(tracked_backend& server, backend_reply& reply) {
+    if (!answer_.started()) {
+        answer_head head;
+        head.base() = core_.protocol.make_caller_head(reply.head());
+        if (!co_await answer_.send_head(std::move(head))) {
+            control_.note_caller_left();
+            co_return attempt_outcome::cancelled;
+        }
+    } else {
+        splitter_.restart();
+    }
+    for (;;) {
+        std::string bytes;
+        const auto state = co_await reply.read_body_piece(bytes);
+        server.last_heard_at = clock::now();
+        std::string complete_events = splitter_.append(bytes);
+        if (state != backend_reply::body_state::more) {
+            attempt_fields_["bytes_after_last_event"] = Json::UInt64(splitter_.incomplete_bytes());
+        }
+        const bool whole = state == backend_reply::body_state::complete && is_stream_whole(reply);
+        if (whole) {
+            complete_events += splitter_.take_trailing_lines();
+        }
+        if (!complete_events.empty()) {
+            first_event_after_ = first_event_after_.value_or(elapsed());
+            unread_prompt_->mark_read();
+            note_answer_progress();
+        }
+        if (!co_await answer_.send_piece(std::move(complete_events))) {
+            control_.note_caller_left();
+        }
+        if (whole && !control_.caller_left()) {
+            co_await answer_.finish();
+            co_return attempt_outcome::answered;
+        }
+        error_ = find_stream_fault(reply, state);
+        if (control_.cancelled()) {
+            co_return attempt_outcome::cancelled;
+        }
+        if (!error_.empty()) {
+            co_return attempt_outcome::broken_midway;
+        }
+    }
+}
+
+/// Returns why a stream whose last read had the result `state` cannot go on; empty if it can.
+template <class Core>
+std::string exchange<Core>::find_stream_fault(const backend_reply& reply,
+                                              backend_reply::body_state state) const {
+    if (state == backend_reply::body_state::broken) {
+        return reply.error();
+    }
+    if (splitter_.incomplete_bytes() > max_event_bytes) {
+        return "an event of the stream is too large";
+    }
+    const bool ended = state == backend_reply::body_state::complete;
+    return ended && !is_stream_whole(reply) ? "the stream ended inside an event or before the first one" : "";
+}
+
+/// Returns whether a stream whose body has ended is whole. If only the end of the connection marks the end of
+/// the body, an answer without any new event is taken for one that was broken off.
+template <class Core>
+bool exchange<Core>::is_stream_whole(const backend_reply& reply) const {
+    const bool has_begun =
+        splitter_.has_events_since_restart() || reply.framing() != body_framing::connection_end;
+    return has_begun && !splitter_.is_inside_event();
+}
+
+/// Collects the body and sends it once it is complete; a large body of a successful answer is forwarded as it
+/// arrives. Sends nothing if an earlier server's answer has been started.
+template <class Core>
+task<attempt_outcome> exchange<Core>::forward_body(tracked_backend& server, backend_reply& reply,
+                                                   answer_kind kind) {
+    std::string body;
+    bool forwarding = false;
+    for (bool complete = false; !complete;) {
+        std::string bytes;
+        const auto state = co_await reply.read_body_piece(bytes);
+        server.last_heard_at = clock::now();
+        body += bytes;
+        if (state == backend_reply::body_state::broken) {
+            error_ = reply.error();
+            co_return control_.cancelled() ? attempt_outcome::cancelled
+            : forwarding                   ? attempt_outcome::broken_midway
+                                           : attempt_outcome::invalid_answer;
+        }
+        complete = state == backend_reply::body_state::complete;
+        if (kind != answer_kind::success && body.size() > max_held_answer_bytes) {
+            error_ = "the body of a failure is too large";
+            co_return attempt_outcome::invalid_answer;
+        }
+        if (!forwarding && !complete && kind == answer_kind::success && body.size() > max_held_answer_bytes) {
+            forwarding = true;
+            answer_head head;
+            head.base() = core_.protocol.make_caller_head(reply.head());
+            if (!co_await answer_.send_head(std::move(head))) {
+                control_.note_caller_left();
+            }
+        }
+        if (forwarding && !co_await answer_.send_piece(std::exchange(body, {}))) {
+            control_.note_caller_left();
+        }
+        if (forwarding && control_.cancelled()) {
+            co_return attempt_outcome::cancelled;
+        }
+    }
+    if (forwarding) {
+        co_await answer_.finish();
+        co_return attempt_outcome::answered;
+    }
+    text_reply reply_to_caller;
+    reply_to_caller.base() = core_.protocol.make_caller_head(reply.head());
+    reply_to_caller.body() = std::move(body);
+    if (kind != answer_kind::success) {
+        if (kind == answer_kind::failure) {
+            // A reply of a server that declined does not replace an earlier server's failure.
+            held_failure_ = std::move(reply_to_caller);
+        }
+        co_return attempt_outcome::failed;
+    }
+    co_await answer_.send_whole(std::move(reply_to_caller));
+    co_return attempt_outcome::answered;
+}
+
+} // namespace eelgrassgw
