--- a/test/gateway/refusal_proof_test.cpp
+++ b/test/gateway/refusal_proof_test.cpp
@@ -125,6 +125,25 @@
     });
 }
 
+TEST_F(refusal_proof_test, request_that_crashes_its_servers_is_said_to_be_not_run_only_if_it_reached_none) {
+    constexpr int server_count = 3;
+    for (int i = 0; i < server_count; ++i) {
+        add_backend("s" + std::to_string(i), "models", running([this, i](backend_exchange& e) -> task<void> {
+                        backends.at(std::size_t(i))->stop_listening();
+                        e.break_off(true);
+                        co_return;
+                    }));
+    }
+    run([&]() -> task<void> {
+        int refused = 0;
+        for (int i = 0; i < 8; ++i) {
+            refused += co_await send_checked("/draft/", "d" + std::to_string(i)) == 503U ? 1 : 0;
+            co_await sleep_for(100ms);
+        }
+        EXPECT_EQ(8 - server_count, refused);
+    });
+}
+
 /// The head of an answer that a server gives although it has run the request.
 struct unsound_refusal {
     const char* name;
