--- a/test/soak/soak_backend.h
+++ b/test/soak/soak_backend.h
@@ -39,7 +39,8 @@
     /// Returns whether a server writes an earlier refusal once more before its answer.
     bool draw_late_refusal() { return !failures_disabled && random_framing() % 100 < 3; }
 
-    /// Returns whether a server writes a refusal before it has read a request of the connection.
+    /// Returns whether a server writes a refusal that names no request before its first answer on a
+    /// connection.
     bool draw_unsolicited_refusal() { return !failures_disabled && random_refusals() % 100 < 2; }
 
     /// Returns whether a server that has refused a request writes that refusal once more, later.
