Quarantine: no probe begins so late in a turn that the next router might send one before it knows the result

And the fault itself is real: a router sent its probe 14 ms before the end of its turn; the server crashed 345 ms later; the next router, whose turn had begun and who did not know that yet, sent the next probe in vain.

--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -150,7 +150,8 @@
     const std::string& part = *group->causes.begin();
     const std::int64_t turn = probe_schedule::turn_at(now.wall);
     std::int64_t& last_turn = parts_.at(part).last_probe_turn;
-    if (turn == last_turn || !probes_.is_own_turn(part, turn)) {
+    if (turn == last_turn || !probe_schedule::has_time_for_result(now.wall) ||
+        !probes_.is_own_turn(part, turn)) {
         return false;
     }
     last_turn = turn;
--- a/src/quarantine/probe_schedule.cpp
+++ b/src/quarantine/probe_schedule.cpp
@@ -16,6 +16,10 @@
     return now.time_since_epoch() / turn_time;
 }
 
+bool probe_schedule::has_time_for_result(std::chrono::system_clock::time_point now) {
+    return now.time_since_epoch() % turn_time <= turn_time - result_time;
+}
+
 bool probe_schedule::is_own_turn(const std::string& part, std::int64_t turn) const {
     const auto rank = [&](const std::string& router) {
         return std::pair(stable_hash(router + " " + part + " " + std::to_string(turn)), router);
--- a/test/gateway/crash_load_test.cpp
+++ b/test/gateway/crash_load_test.cpp
@@ -33,6 +33,7 @@
     double outage_share = 1;           ///< Share of the servers that do so.
     std::size_t outage_slices = 1;     ///< Number of groups of them that do so in turn, one at each outage.
     bool is_request = false; ///< Whether one request that comes again is deadly, rather than a prompt part.
+    milliseconds start{0};   ///< Time of the day at which the load starts; it decides who probes when.
     milliseconds restart_gap{0}; ///< Time between restarts of routers, one after the other; 0 for none.
 };
 
@@ -106,6 +107,12 @@
         int starts = 0;
     };
 
+    static clock_reading start_at(milliseconds time) {
+        constexpr std::chrono::hours first_day{480'000};
+        return {std::chrono::steady_clock::time_point(1h),
+                std::chrono::system_clock::time_point(first_day) + time};
+    }
+
     /// A router forgets what it knew. It asks another one what is in quarantine, if notices arrive.
     void restart_router(std::size_t router) {
         routers_[router].quarantine.clear();
@@ -267,7 +274,7 @@
     sharing how_;
     std::mt19937 random_;
     load_shape shape_;
-    clock_reading now_ = clock_reading::now();
+    clock_reading now_ = start_at(shape_.start);
     std::vector<router_view> routers_;
     std::vector<part_quarantine::steady_time> started_at_ =
         std::vector<part_quarantine::steady_time>(router_count);
@@ -365,6 +372,22 @@
     }
 }
 
+// Guards against a probe that begins before the result of another router's last one is known.
+TEST_P(crash_load_test, deadly_request_is_kept_from_servers_at_whatever_time_of_the_day_it_comes) {
+    for (const milliseconds time_to_crash : {0ms, 50ms}) {
+        for (int i = 0; i < 40; ++i) {
+            load_shape shape;
+            shape.is_request = true;
+            shape.deadly_at_once = 8;
+            shape.deadly_gap = 400ms;
+            shape.time_to_crash = time_to_crash;
+            shape.is_retried = true;
+            shape.start = i * 2150ms;
+            check(1, shape, "start " + std::to_string(shape.start.count()) + " ms", 40s);
+        }
+    }
+}
+
 TEST_P(crash_load_test, deadly_request_that_comes_again_is_kept_from_servers_though_routers_restart) {
     for (const milliseconds gap : {400ms, 3000ms}) {
         for (unsigned seed = 1; seed <= 5; ++seed) {
