Failing tests: a caller is told "not run" while an earlier attempt with its id is accepted and about to be sent

What callers see: 503 for an id, which then runs. Cause, shown by the tests: a router remembers an id from its first send on, not from the moment at which it accepts the request; the first attempt may be waiting for its budget or for a connection.

--- a/test/gateway/refusal_proof_test.cpp
+++ b/test/gateway/refusal_proof_test.cpp
@@ -35,16 +35,38 @@
     /// Sends a request with this id, and expects that it runs once at most, and not at all if its caller is
     /// told so. Returns the status of the answer.
     task<unsigned> send_checked(std::string path, std::string id) {
-        const std::string headers = path == "/draft/" ? prompt_headers : "";
-        const auto answer =
-            co_await call("POST " + path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
-                          "\r\nDeadline-Ms: 2000\r\nAuthorization: Bearer key-1\r\n" + headers +
-                          "Content-Length: 1\r\n\r\nb");
+        const auto answer = co_await call(request_with_id(path, id, 2000ms));
         const unsigned status = answer ? answer->result_int() : 0;
+        expect_kept_promise(id, status);
+        co_return status;
+    }
+
+    /// Sends a request twice at once with the same id, the second time with a deadline that has passed, and
+    /// expects the same of both.
+    task<void> send_checked_twice_at_once(std::string path, std::string id) {
+        raw_caller first(context);
+        raw_caller second(context);
+        first.connect_and_send_blocking(settings.listen, request_with_id(path, id, 2000ms));
+        second.connect_and_send_blocking(settings.listen, request_with_id(path, id, 0ms));
+        const auto second_answer = co_await second.read_answer();
+        const auto first_answer = co_await first.read_answer();
+        expect_kept_promise(id, first_answer ? first_answer->result_int() : 0);
+        expect_kept_promise(id, second_answer ? second_answer->result_int() : 0);
+    }
+
+    static std::string request_with_id(const std::string& path, const std::string& id,
+                                       std::chrono::milliseconds deadline) {
+        return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
+               "\r\nDeadline-Ms: " + std::to_string(deadline.count()) +
+               "\r\nAuthorization: Bearer key-1\r\n" + (path == "/draft/" ? prompt_headers : "") +
+               "Content-Length: 1\r\n\r\nb";
+    }
+
+    /// Expects that a request ran once at most, and not at all if its caller got a status that says so.
+    void expect_kept_promise(const std::string& id, unsigned status) {
         EXPECT_LE(runs[id], 1) << id;
         EXPECT_TRUE(runs[id] == 0 || !contains(promising_statuses, status))
             << id << " ran although its caller got status " << status;
-        co_return status;
     }
 
     static bool contains(const std::array<unsigned, 4>& statuses, unsigned status) {
@@ -125,6 +147,20 @@
     });
 }
 
+TEST_F(refusal_proof_test, booking_is_not_said_to_be_not_run_while_an_earlier_attempt_is_about_to_be_sent) {
+    add_backend("s1", "plain", running(answering("booked")));
+    run([&]() -> task<void> {
+        for (int i = 0; i < 10; ++i) {
+            co_await send_checked_twice_at_once("/book/", "b" + std::to_string(i));
+        }
+    });
+}
+
+TEST_F(refusal_proof_test, stream_is_not_said_to_be_not_run_while_an_earlier_attempt_waits_for_its_budget) {
+    add_backend("s1", "models", running(answering("id: 1\ndata: a\n\n")));
+    run([&]() -> task<void> { co_await send_checked_twice_at_once("/draft/", "d"); });
+}
+
 TEST_F(refusal_proof_test, request_that_crashes_its_servers_is_said_to_be_not_run_only_if_it_reached_none) {
     constexpr int server_count = 3;
     for (int i = 0; i < server_count; ++i) {
