A caller is not told "not run" while an earlier attempt with its id is accepted and about to be sent

What callers saw: 503 for an id that then ran, when two attempts with it reach one router at once. Cause: a promise is about an id for all time, and the router remembered ids from their first send on; an attempt that waits for its budget or for a connection was not in that memory, so the second attempt was refused with a promise that the first one broke.

Change: `unrepeatable_requests` (was `sent_requests`) takes an id when the router accepts the request, before its first wait, and gives it back when the request has ended and is proved not to have run. That replaces two checks in the middle of an exchange. Sound callers, who give each attempt an id of its own, see no difference. Limit: ids at another router are not known.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -100,7 +100,8 @@
 
 private:
     void decode_terms();
-    bool is_sent_by_another_attempt() const;
+    void claim_id();
+    void release_id();
     std::optional<refusal> check_admission();
     std::optional<refusal> check_request();
     std::optional<quarantined_part> find_quarantined_part() const;
@@ -111,8 +112,6 @@
     task<std::optional<refusal>> reserve_budget();
     task<void> send_until_answered();
     task<result<std::unique_ptr<connection>>> open_connection(std::string address);
-    void note_send();
-    void note_proof_of_not_run();
     task<attempt_outcome> send_to(std::shared_ptr<tracked_backend> server);
     task<attempt_outcome> send_and_receive(std::shared_ptr<tracked_backend> server, connection& upstream);
     task<attempt_outcome> forward_answer(tracked_backend& server, connection& upstream, backend_reply& reply,
@@ -172,7 +171,8 @@
     tokens reserved_tokens_ = 0;
     tokens charged_tokens_ = 0; ///< Part of `reserved_tokens_` that the customer is charged.
     std::vector<std::string> tried_server_ids_;
-    send_record sends_;         ///< What is known of the sends to backend servers.
+    send_record sends_;           ///< What is known of the sends to backend servers.
+    bool has_claimed_id_ = false; ///< Whether a repetition with the same id is kept back for this request.
     bool is_probe_ = false;     ///< Whether the request finds out for all routers if its parts are harmless.
     attempt_progress progress_; ///< Progress of the current attempt.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
@@ -205,6 +205,7 @@
     if (is_probe_ && sends_.send_count() == 0) {
         core_.quarantine.return_probe(parts_);
     }
+    release_id();
     settle_budget();
     log_outcome();
     co_return answer_.connection_reusable() && !control_.cancelled();
@@ -228,10 +229,6 @@
         if (control_.cancelled() || time_left() < min_attempt_time) {
             co_return co_await send_final_answer(attempt_outcome::cancelled);
         }
-        if (is_sent_by_another_attempt()) { // It was sent while this attempt waited.
-            sends_.note_earlier_attempt();
-            co_return co_await send_final_answer(attempt_outcome::not_sent);
-        }
         if (is_kept_back()) { // The part may have got into quarantine during an earlier attempt.
             co_return co_await send_final_answer(attempt_outcome::not_sent);
         }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -7,7 +7,7 @@
 #include "eelgrassgw/metrics/metrics.h"
 #include "gateway/reply_evidence.h"
 #include "gateway/request_terms.h"
-#include "gateway/sent_requests.h"
+#include "gateway/unrepeatable_requests.h"
 #include "limits/limit_notices.h"
 #include "net/connection_pool.h"
 #include "placing/prompt_notices.h"
@@ -87,7 +87,8 @@
     limit_notices server_limits;
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
-    sent_requests unrepeatable; ///< Requests that may run only once and may have been run.
+    unrepeatable_requests
+        unrepeatable; ///< Requests that may run only once and are in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
     bool refusing_requests = false;    ///< True late in a graceful stop, when new requests are refused.
--- a/src/gateway/internal/exchange_admission.h
+++ b/src/gateway/internal/exchange_admission.h
@@ -18,18 +18,12 @@
     }
 }
 
-/// Returns whether the caller has sent the same request before, so that it may have run and must not run
-/// again.
-template <class Core>
-bool exchange<Core>::is_sent_by_another_attempt() const {
-    return !sends_.may_have_run() && core_.unrepeatable.contains(terms_.id);
-}
-
 template <class Core>
 std::optional<refusal> exchange<Core>::check_admission() {
-    if (is_sent_by_another_attempt()) {
+    if (core_.unrepeatable.contains(terms_.id)) {
         sends_.note_earlier_attempt();
-        return refusal{refusal_reason::already_sent, "the request was sent before and may have run", {}};
+        return refusal{
+            refusal_reason::already_sent, "the request was sent before and may run or have run", {}};
     }
     if (core_.body_bytes_in_use > max_body_bytes_in_use) {
         answer_.close_connection_afterwards();
@@ -75,9 +69,24 @@
     }
     service_ = choose_service(*route_, random_below(1U << 30U));
     core_.retries.record_request(service_, clock::now());
+    claim_id();
     return std::nullopt;
 }
 
+/// Keeps the caller from repeating a request that may run only once: from now on it may be sent at any time.
+template <class Core>
+void exchange<Core>::claim_id() {
+    has_claimed_id_ = !may_run_again(*route_) && core_.unrepeatable.insert(terms_.id, clock::now());
+}
+
+/// Lets the caller repeat a request that is proved not to have run.
+template <class Core>
+void exchange<Core>::release_id() {
+    if (has_claimed_id_ && !sends_.may_have_run()) {
+        core_.unrepeatable.erase(terms_.id);
+    }
+}
+
 /// Returns a part of the request that is in quarantine; nothing if it has none.
 template <class Core>
 std::optional<quarantined_part> exchange<Core>::find_quarantined_part() const {
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -7,24 +7,6 @@
 
 namespace eelgrassgw {
 
-/// Records that the request is about to be sent to a server.
-template <class Core>
-void exchange<Core>::note_send() {
-    sends_.begin_send();
-    if (!may_run_again(*route_)) {
-        core_.unrepeatable.insert(terms_.id, clock::now());
-    }
-}
-
-/// Records the proof that the last send was not run and never will be.
-template <class Core>
-void exchange<Core>::note_proof_of_not_run() {
-    sends_.prove_not_run();
-    if (!may_run_again(*route_)) {
-        core_.unrepeatable.erase(terms_.id);
-    }
-}
-
 /// Opens a connection on which the peer has not refused the request before. That refusal could arrive once
 /// more and be taken for an answer to the next send.
 template <class Core>
@@ -54,9 +36,9 @@
         core_.pool.put_back(std::move(upstream));
         co_return attempt_outcome::cancelled;
     }
-    // While this task waited for the connection, the server may have begun to leave or to pause, a part of
-    // the prompt may have got into quarantine, or another attempt of the caller may have been sent.
-    if (!server->accepts_requests(clock::now()) || is_kept_back() || is_sent_by_another_attempt()) {
+    // While this task waited for the connection, the server may have begun to leave or to pause, or a part of
+    // the prompt may have got into quarantine.
+    if (!server->accepts_requests(clock::now()) || is_kept_back()) {
         error_ = "server " + server->server.id + " accepts no requests like this one";
         core_.pool.put_back(std::move(upstream));
         co_return attempt_outcome::not_sent;
@@ -64,7 +46,7 @@
     server->begin_request(clock::now());
     unread_prompt_.emplace(core_.long_prompts, server, terms_.prompt ? terms_.prompt->unshared_tokens() : 0);
     control_.attach_upstream(upstream->socket);
-    note_send();
+    sends_.begin_send();
     progress_ = {};
     progress_.sent_at = clock::now();
     const attempt_outcome outcome = co_await send_and_receive(server, *upstream);
@@ -75,7 +57,7 @@
     --server->running_requests;
     unread_prompt_.reset();
     if (outcome == attempt_outcome::not_run || outcome == attempt_outcome::wrong_server) {
-        note_proof_of_not_run();
+        sends_.prove_not_run();
     }
     co_return outcome;
 }
--- a/src/gateway/refusal.h
+++ b/src/gateway/refusal.h
@@ -28,7 +28,7 @@
     draining,            ///< This process is stopping.
     caller_deadline,     ///< The deadline of the request passed, and the request has not run.
     timeout,             ///< The deadline of the request passed; the request may have run.
-    already_sent,        ///< The same request was sent for an earlier attempt of its caller and may have run.
+    already_sent,        ///< An earlier attempt with the same id may run or have run.
     backend_failed,      ///< The backend server's answer was lost or invalid; the request may have run.
 };
 
--- a/src/gateway/send_record.h
+++ b/src/gateway/send_record.h
@@ -21,13 +21,13 @@
     /// Precondition: the proof is of that send.
     void prove_not_run() { --unproved_sends_; }
 
-    /// Records that the same request may have been sent for an earlier attempt of its caller.
+    /// Records that an earlier attempt of the caller with the same id may be sent or have been sent.
     void note_earlier_attempt() { has_earlier_attempt_ = true; }
 
     /// Returns the number of sends.
     int send_count() const { return send_count_; }
 
-    /// Returns whether the request may have been sent for an earlier attempt of its caller.
+    /// Returns whether an earlier attempt of the caller with the same id may be sent or have been sent.
     bool has_earlier_attempt() const { return has_earlier_attempt_; }
 
     /// Returns whether the request may have run or may still run.
