Relay: a ledger write whose outcome is unknown is answered 504, which promises nothing

A relay answered 503 when it did not know whether the write was done; on this platform 503 says that nothing was done and never will be. No caller saw it, and the routers take each status but 200 and 202 as unknown, so nothing else changes and old and new processes work together.

--- a/src/relay/ledger_endpoint.h
+++ b/src/relay/ledger_endpoint.h
@@ -20,7 +20,7 @@
         : pool_(context), paths_(pool_, store, log), writer_(context, Store(paths_), log) {}
 
     /// Returns the HTTP handler for ledger requests. It replies 200 if the request was applied or refused,
-    /// 202 if the store has not answered yet, 400 if the request cannot be parsed, and 503 if the outcome is
+    /// 202 if the store has not answered yet, 400 if the request cannot be parsed, and 504 if the outcome is
     /// unknown. Precondition: this object outlives the handler's tasks.
     http_service::handler handler() {
         return [this](text_request request) {
@@ -44,7 +44,7 @@
         if (outcome.status != ledger_outcome::status_kind::unknown) {
             return http::status::ok;
         }
-        return outcome.still_trying ? http::status::accepted : http::status::service_unavailable;
+        return outcome.still_trying ? http::status::accepted : http::status::gateway_timeout;
     }
 
     connection_pool pool_;
