--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -69,6 +69,22 @@
         outcomes.push_back({read_id(bookings[1]), false, answer ? answer->result_int() : 0});
     }
 
+    /// Sends a booking twice at once to the same router, with the same id.
+    task<void> send_repeated_booking() {
+        const std::string& router = router_addresses[state->random_refusals() % router_count];
+        const std::string bytes = request("POST", "/book/1");
+        raw_caller first(context);
+        raw_caller second(context);
+        co_await first.connect(router);
+        co_await second.connect(router);
+        co_await first.send(bytes);
+        co_await second.send(bytes);
+        for (raw_caller* each : {&first, &second}) {
+            const auto answer = co_await each->read_answer(6s);
+            outcomes.push_back({read_id(bytes), false, answer ? answer->result_int() : 0});
+        }
+    }
+
     static std::string make_whole_stream(const std::string& id) {
         std::string stream;
         for (int n = 1; n <= events_per_stream; ++n) {
@@ -239,6 +255,7 @@
         while (!stopping) {
             if (state->random_refusals() % 8 == 0) {
                 co_await send_pipelined_bookings(connection);
+                co_await send_repeated_booking();
             }
             co_await send_random_request(connection);
             co_await sleep_for(milliseconds(random_below(60)));
