--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -2,9 +2,8 @@
 
 /// Test fixture that runs a gateway on loopback with a fake store and scripted backend servers.
 
-#include "gateway/gateway.h"
+#include "gateway_instance.h"
 #include "loopback.h"
-#include "platform/adapter.h"
 #include "platform_store_stand_in.h"
 #include "raw_caller.h"
 #include "scripted_backend.h"
--- /dev/null
+++ b/test/gateway/gateway_instance.cpp
@@ -0,0 +1,7 @@
+#include "gateway_instance.h"
+
+namespace eelgrassgw {
+
+template class gateway<platform::adapter>;
+
+} // namespace eelgrassgw
