--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -87,8 +87,7 @@
     limit_notices server_limits;
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
-    unrepeatable_requests
-        unrepeatable; ///< Requests that may run only once and are in progress or may have run.
+    unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
     bool refusing_requests = false;    ///< True late in a graceful stop, when new requests are refused.
--- a/src/gateway/internal/exchange_admission.h
+++ b/src/gateway/internal/exchange_admission.h
@@ -23,7 +23,7 @@
     if (core_.unrepeatable.contains(terms_.id)) {
         sends_.note_earlier_attempt();
         return refusal{
-            refusal_reason::already_sent, "the request was sent before and may run or have run", {}};
+            refusal_reason::already_sent, "an earlier attempt with the same id may run or have run", {}};
     }
     if (core_.body_bytes_in_use > max_body_bytes_in_use) {
         answer_.close_connection_afterwards();
@@ -74,6 +74,7 @@
 }
 
 /// Keeps the caller from repeating a request that may run only once: from now on it may be sent at any time.
+/// Must be called before the first wait of the exchange, so that no other attempt can come in between.
 template <class Core>
 void exchange<Core>::claim_id() {
     has_claimed_id_ = !may_run_again(*route_) && core_.unrepeatable.insert(terms_.id, clock::now());
--- a/src/quarantine/probe_schedule.h
+++ b/src/quarantine/probe_schedule.h
@@ -14,6 +14,7 @@
 /// next turn. Not thread-safe.
 class probe_schedule {
 public:
+    /// Length of a turn.
     static constexpr std::chrono::milliseconds turn_time{2000};
     /// Time that a server needs to crash under a probe and the routers to tell one another. No probe begins
     /// so late in a turn that the next router might send one before it knows the result.
