--- a/test/gateway/request_quarantine_test.cpp
+++ b/test/gateway/request_quarantine_test.cpp
@@ -38,6 +38,11 @@
         now.wall += time;
     }
 
+    void advance_to_next_turn() {
+        const auto since_begin = now.wall.time_since_epoch() % probe_schedule::turn_time;
+        advance(std::chrono::floor<std::chrono::milliseconds>(probe_schedule::turn_time - since_begin));
+    }
+
     /// Has a server crash under these requests, of which no router had seen a byte of the answer.
     void crash(const std::vector<part_list>& requests) { crash_at(router, requests); }
 
@@ -67,7 +72,9 @@
         }
     }
 
-    clock_reading now = clock_reading::now();
+    /// A turn of the probes begins at this time.
+    clock_reading now{std::chrono::steady_clock::time_point(1h),
+                      std::chrono::system_clock::time_point(480'000h)};
     router_view router;
     int crashes = 0;
 };
@@ -102,6 +109,7 @@
     EXPECT_TRUE(router.rejects(deadly, now));
     router.quarantine.set_routers("self", {});
     advance(2s);
+    advance_to_next_turn();
     EXPECT_TRUE(router.quarantine.take_probe(sound, now));
     answer(sound);
     EXPECT_FALSE(router.rejects(sound, now));
@@ -152,10 +160,24 @@
     EXPECT_FALSE(router.rejects(deadly, now));
     advance(part_suspicion::settling_time);
     EXPECT_TRUE(router.rejects(deadly, now));
+    advance_to_next_turn();
     EXPECT_TRUE(router.quarantine.take_probe(deadly, now));
     EXPECT_FALSE(router.quarantine.take_probe(deadly, now)) << "one request finds out";
 }
 
+TEST_F(request_quarantine_test, probe_begins_only_if_its_result_is_known_before_the_next_turn) {
+    router.quarantine.set_routers("self", {});
+    crash({deadly});
+    crash({deadly});
+    crash({deadly});
+    advance(part_suspicion::settling_time);
+    advance_to_next_turn();
+    advance(probe_schedule::turn_time - probe_schedule::result_time + 1ms);
+    EXPECT_FALSE(router.quarantine.take_probe(deadly, now));
+    advance_to_next_turn();
+    EXPECT_TRUE(router.quarantine.take_probe(deadly, now));
+}
+
 TEST_F(request_quarantine_test, probes_of_a_deadly_request_end_after_few) {
     router.quarantine.set_routers("self", {});
     for (int i = 0; i < 3; ++i) {
