Agent: the engine is asked for its record of a run in one place

Both places call `ask_for_run` now; nothing else changes. The gateway's code and the platform's programs are untouched.

--- a/include/eelgrassgw/agent/engine_backend.h
+++ b/include/eelgrassgw/agent/engine_backend.h
@@ -23,6 +23,8 @@
 private:
     /// Reads events until the end marker. Returns `std::nullopt` if the stream breaks before the marker.
     std::optional<run_outcome> read_events(http_stream& stream, run& r, std::uint64_t fencing_number);
+    /// Returns the engine's answer to the question for its record of the run `id`; status 404 if it has none.
+    result<http_response> ask_for_run(const std::string& id);
     /// Returns the outcome of a run whose request the engine answered with a failure: `not_run` only if the
     /// engine knows no such run, since a status alone does not prove that.
     run_outcome settle_refused_run(run& r, std::uint64_t fencing_number, const std::string& cause);
--- a/src/agent/engine_backend.cpp
+++ b/src/agent/engine_backend.cpp
@@ -139,11 +139,15 @@
     return ended ? *ended : settle_broken_run(r, fencing_number, cause);
 }
 
+result<http_response> engine_backend::ask_for_run(const std::string& id) {
+    http_request request;
+    request.path = "/v1/runs/" + id;
+    return call_http(engine_, request, timeouts_);
+}
+
 run_outcome engine_backend::settle_refused_run(run& r, std::uint64_t fencing_number,
                                                const std::string& cause) {
-    http_request request;
-    request.path = "/v1/runs/" + engine_run_id(r.assigned_ticket());
-    const result<http_response> known = call_http(engine_, request, timeouts_);
+    const result<http_response> known = ask_for_run(engine_run_id(r.assigned_ticket()));
     constexpr int not_found = 404;
     if (known && known.value().status == not_found) {
         return not_run(cause);
@@ -155,9 +159,7 @@
                                               const std::string& cause) {
     const std::string id = engine_run_id(r.assigned_ticket());
     const result<done> cancelled = cancel(id, fencing_number);
-    http_request request;
-    request.path = "/v1/runs/" + id;
-    const result<http_response> usage = call_http(engine_, request, timeouts_);
+    const result<http_response> usage = ask_for_run(id);
     run_outcome outcome = r.outcome();
     outcome.state = run_state::failed;
     outcome.message = cause;
