--- a/include/eelgrassgw/settings/document_reader.h
+++ b/include/eelgrassgw/settings/document_reader.h
@@ -64,6 +64,9 @@
     /// Adds an error found by the caller: `field` has `value`, but only `allowed` is valid.
     void report(const std::string& field, const std::string& value, const std::string& allowed);
 
+    /// Adds the errors of a reader for an object inside this one.
+    void add_errors(const document_reader& inner);
+
     /// Returns all errors as one failure to read `file`.
     failure to_failure(const std::string& file) const;
 
--- a/src/backends/backend_server.h
+++ b/src/backends/backend_server.h
@@ -2,6 +2,7 @@
 
 /// Describes a backend server as it appears in the platform's list.
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -16,6 +17,9 @@
     int slots = 0;               ///< Number of requests that the server runs concurrently; 0 if not stated.
     bool draining = false;       ///< Whether the server accepts no new requests.
     std::int64_t started_ms = 0; ///< Unix time of the server's start in milliseconds; 0 if not stated.
+
+    /// Time for which the server stays cold, from the moment at which it wrote its entry.
+    std::chrono::milliseconds cold_time_left{0};
 };
 
 } // namespace eelgrassgw
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -48,6 +48,41 @@
     policy.max_unspent_share = reader.number_or("largest_allowance_share", 0, 1, policy.max_unspent_share);
 }
 
+vm_resources read_resources(document_reader& reader) {
+    document_reader fields(reader.object_or_empty("resources"), "resources");
+    vm_resources resources;
+    resources.processor_share = fields.number_or("processor_share", 0, 1000, 0);
+    resources.memory_mb = static_cast<std::size_t>(fields.integer_or("memory_mb", 0, 1000000, 0));
+    resources.max_descriptors =
+        static_cast<std::size_t>(fields.integer_or("max_descriptors", 0, 100000000, 0));
+    resources.link_mbps = fields.number_or("link_mbps", 0, 10000000, 0);
+    fields.finish();
+    reader.add_errors(fields);
+    return resources;
+}
+
+place_settings read_places(document_reader& reader) {
+    place_settings places;
+    places.region = reader.text_or("region", "");
+    const Json::Value& regions = reader.object_or_empty("data_centres");
+    for (const std::string& data_centre : regions.getMemberNames()) {
+        const Json::Value& region = regions[data_centre];
+        if (!region.isString()) {
+            reader.report("data_centres." + data_centre, to_text(region), "the name of a region");
+            continue;
+        }
+        places.regions[data_centre] = region.asString();
+    }
+    const auto evacuation_limit =
+        reader.milliseconds_or("evacuation_limit_ms", 0, 3600000, std::chrono::milliseconds(0));
+    if (evacuation_limit > std::chrono::milliseconds(0)) {
+        places.evacuation_limit = evacuation_limit;
+    }
+    places.cold_overshoot = reader.number_or("cold_overshoot", 1, 1000, places.cold_overshoot);
+    places.cold_slack = reader.number_or("cold_slack", 0, 1000000, places.cold_slack);
+    return places;
+}
+
 } // namespace
 
 result<gateway_settings> load_gateway_settings(const std::string& path) {
@@ -71,6 +106,10 @@
         std::chrono::seconds(reader.integer_or("stop_limit_s", 1, 3600, settings.stop_limit.count()));
     read_retries(reader, settings.retries);
     read_allowances(reader, settings.allowances);
+    settings.resources = read_resources(reader);
+    settings.places = read_places(reader);
+    settings.event_delay_limit =
+        reader.milliseconds_or("event_delay_limit_ms", 0, 60000, settings.event_delay_limit);
     reader.finish();
     if (!reader.errors().empty()) {
         return reader.to_failure(path);
@@ -90,6 +129,8 @@
     settings.metrics_listen = read_optional_address(reader, "metrics_listen");
     settings.store = read_address(reader, "store");
     settings.peers = read_addresses(reader, "peers");
+    settings.backend_server = read_optional_address(reader, "backend_server");
+    settings.resources = read_resources(reader);
     reader.finish();
     if (!reader.errors().empty()) {
         return reader.to_failure(path);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -4,6 +4,8 @@
 
 #include "budgets/allowance_table.h"
 #include "eelgrassgw/base/failure.h"
+#include "gateway/place_settings.h"
+#include "gateway/vm_resources.h"
 #include "retries/retry_budget.h"
 
 #include <chrono>
@@ -28,6 +30,11 @@
     std::chrono::seconds stop_limit{8}; ///< Time from the stop signal until the process is killed.
     retry_limits retries;
     allowance_policy allowances;
+    vm_resources resources;
+    place_settings places;
+
+    /// Longest time that an event of a stream may spend in this router; 0 if not stated.
+    std::chrono::milliseconds event_delay_limit{0};
 };
 
 /// Settings of a relay process. Addresses have the form IP:port.
@@ -37,6 +44,8 @@
     std::string metrics_listen;     ///< Address of the metrics endpoint; empty if metrics are not served.
     std::string store;              ///< Address of the platform's store.
     std::vector<std::string> peers; ///< Addresses of routers to which this relay announces itself.
+    std::string backend_server;     ///< Address of the server beside this relay; empty if not stated.
+    vm_resources resources;
 };
 
 /// Reads and validates a settings file. On failure, the error lists every invalid field with its value and
--- a/src/routes/fleet_configuration.h
+++ b/src/routes/fleet_configuration.h
@@ -22,6 +22,9 @@
     std::vector<std::string> api_keys;
     std::optional<int> priority;   ///< Overrides the route's priority if present.
     std::optional<tokens> prepaid; ///< Total tokens that the customer may use; absent for no limit.
+
+    /// Regions whose backend servers may run the customer's requests; empty if all may.
+    std::vector<std::string> allowed_regions;
 };
 
 /// The properties that all backend servers of a service share.
@@ -30,6 +33,13 @@
     bool runs_models = false; ///< Whether the service runs language models.
     int max_connections = 0;  ///< Limit on all callers' connections to one backend server; 0 if not stated.
     int max_tokens_per_event = 1; ///< Maximum number of tokens in one event of a stream.
+    tokens kv_capacity = 0;       ///< Tokens that the memory of one model server holds; 0 if not stated.
+
+    /// Time for which a server is cold after its start; 0 if servers are never cold.
+    std::chrono::milliseconds warm_up_time{0};
+
+    /// Requests per second that a cold server takes from all routers together; 0 if there is no limit.
+    double max_cold_rate = 0;
 };
 
 /// Limits on the size and duration of a caller's requests.
--- a/src/routes/route.h
+++ b/src/routes/route.h
@@ -38,6 +38,12 @@
     bool needs_key = true;                  ///< Whether a request must carry a customer's API key.
     bool resumable = false; ///< Whether a stream may continue at another backend server after its last event.
     bool carries_prompt = false; ///< Whether requests describe their prompt and use the customer's budget.
+
+    /// Longest pause between two events of a stream that is still on time; 0 if not stated.
+    std::chrono::milliseconds max_event_gap{0};
+
+    /// Regions whose backend servers may run the requests; empty if all may.
+    std::vector<std::string> allowed_regions;
 };
 
 /// Returns whether a request of `r` may be sent again even though another backend server may have run it.
--- a/src/settings/document_reader.cpp
+++ b/src/settings/document_reader.cpp
@@ -178,6 +178,10 @@
     }
 }
 
+void document_reader::add_errors(const document_reader& inner) {
+    errors_.insert(errors_.end(), inner.errors_.begin(), inner.errors_.end());
+}
+
 failure document_reader::to_failure(const std::string& file) const {
     std::string lines;
     for (const std::string& error : errors_) {
--- a/test/gateway/adapter_test.cpp
+++ b/test/gateway/adapter_test.cpp
@@ -133,7 +133,7 @@
 Json::Value server_entry() {
     return parse_json(
                R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","sequence":1,
-                          "born":1700000000123})")
+                          "born":1700000000123,"coldRemainingMs":1200})")
         .value();
 }
 
@@ -144,6 +144,7 @@
     EXPECT_EQ("z", server.value().data_centre);
     EXPECT_EQ(1700000000123, server.value().started_ms);
     EXPECT_FALSE(server.value().draining);
+    EXPECT_EQ(std::chrono::milliseconds(1200), server.value().cold_time_left);
 }
 
 TEST(decode_backend_server, entry_with_a_missing_or_mistyped_field_is_rejected) {
@@ -169,10 +170,13 @@
     const auto configuration = decode_configuration(parse_json(R"({"version":7,
         "routes":[{"name":"r","hostname":"h.example","pathPrefix":"/p/","kind":"streaming","timeoutMs":12000,
                    "targetLatencyMs":400,"priority":0,"maxAttempts":2,"public":false,"sticky":true,"resumable":true,
+                   "targetGapMs":600,"allowedRegions":["north"],
                    "trafficSplit":[{"service":"a","weight":90},{"service":"b","weight":10}]}],
-        "services":[{"name":"a","maxConnections":370,"engine":{"stride":6}},{"name":"b","maxConnections":110}],
+        "services":[{"name":"a","maxConnections":370,"warmupS":2.5,"coldPerS":16.0,
+                     "engine":{"stride":6,"kvCapacityTokens":610587}},{"name":"b","maxConnections":110}],
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-        "tenants":[{"name":"t","apiKeys":["k"],"priority":1,"prepaid":4166154}]})")
+        "tenants":[{"name":"t","apiKeys":["k"],"priority":1,"prepaid":4166154,
+                    "allowedRegions":["north","south"]}]})")
                                                         .value());
     ASSERT_TRUE(configuration.ok());
     const route* r = configuration.value()->find_route("h.example", "/p/x");
@@ -182,7 +186,14 @@
     EXPECT_TRUE(r->carries_prompt);
     EXPECT_EQ(2U, r->services.size());
     EXPECT_EQ(6, configuration.value()->find_service("a").max_tokens_per_event);
+    EXPECT_EQ(std::chrono::milliseconds(600), r->max_event_gap);
+    EXPECT_EQ(std::vector<std::string>{"north"}, r->allowed_regions);
+    EXPECT_EQ(610587, configuration.value()->find_service("a").kv_capacity);
+    EXPECT_EQ(std::chrono::milliseconds(2500), configuration.value()->find_service("a").warm_up_time);
+    EXPECT_DOUBLE_EQ(16, configuration.value()->find_service("a").max_cold_rate);
+    EXPECT_EQ(2U, configuration.value()->find_customer_by_key("k")->allowed_regions.size());
     EXPECT_FALSE(configuration.value()->find_service("b").runs_models);
+    EXPECT_EQ(std::chrono::milliseconds(0), configuration.value()->find_service("b").warm_up_time);
     EXPECT_EQ(4166154, configuration.value()->find_customer_by_key("k")->prepaid);
 }
 
--- a/test/gateway/programs_test.cpp
+++ b/test/gateway/programs_test.cpp
@@ -92,6 +92,28 @@
     EXPECT_NE(std::string::npos, loaded.error().text().find("\"colour\""));
 }
 
+TEST_F(programs_test, resources_and_places_are_read) {
+    std::ofstream(settings_file) << R"({"name":"r","data_centre":"d","listen":"127.0.0.1:1",
+        "store":"127.0.0.1:2","resources":{"processor_share":0.2,"memory_mb":120,"max_descriptors":3075,"link_mbps":10},
+        "region":"north","data_centres":{"d":"north","e":"south"},"evacuation_limit_ms":5000,"cold_overshoot":1.5,
+        "cold_slack":5,"event_delay_limit_ms":200})";
+    const auto loaded = load_gateway_settings(settings_file);
+    ASSERT_TRUE(loaded.ok()) << loaded.error().text();
+    EXPECT_EQ(120U, loaded.value().resources.memory_mb);
+    EXPECT_DOUBLE_EQ(10, loaded.value().resources.link_mbps);
+    EXPECT_EQ("south", loaded.value().places.regions.at("e"));
+    EXPECT_EQ(5s, loaded.value().places.evacuation_limit);
+    EXPECT_DOUBLE_EQ(1.5, loaded.value().places.cold_overshoot);
+}
+
+TEST_F(programs_test, error_for_an_invalid_resource_names_its_field) {
+    std::ofstream(settings_file) << R"({"name":"r","data_centre":"d","listen":"127.0.0.1:1",
+        "store":"127.0.0.1:2","resources":{"memory_mb":-1}})";
+    const auto loaded = load_gateway_settings(settings_file);
+    ASSERT_FALSE(loaded.ok());
+    EXPECT_NE(std::string::npos, loaded.error().text().find("field \"memory_mb\" in \"resources\""));
+}
+
 TEST_F(programs_test, relay_exits_with_code_2_on_invalid_settings) {
     std::ofstream(settings_file) << "not JSON";
     started_program relay_process("eelgrass-platform-relay", settings_file);
