Budgets: a router tells what a crash at this moment would lose

Cause: what a router has taken from the ledger dies with it, and no line or metric said how much that is. What a router holds is unchanged.

--- a/src/budgets/allowance_table.cpp
+++ b/src/budgets/allowance_table.cpp
@@ -40,6 +40,23 @@
     account& customer_account = accounts_[customer];
     customer_account.reserved -= reserved;
     customer_account.available += reserved - used;
+    customer_account.charged += used;
+}
+
+void allowance_table::add_consumed_tokens(const std::string& customer, tokens amount) {
+    accounts_[customer].consumed += amount;
+}
+
+held_tokens allowance_table::total() const {
+    held_tokens sum;
+    for (const auto& [customer, customer_account] : accounts_) {
+        sum.available += customer_account.available;
+        sum.reserved += customer_account.reserved;
+        sum.consumed += customer_account.consumed;
+        sum.charged += customer_account.charged;
+    }
+    sum.taken = sum.available + sum.reserved + sum.charged;
+    return sum;
 }
 
 void allowance_table::record_demand(const std::string& customer, tokens amount, clock::time_point now) {
--- a/src/budgets/allowance_table.h
+++ b/src/budgets/allowance_table.h
@@ -3,6 +3,7 @@
 /// Keeps the tokens that one router may spend of each customer's budget without asking the ledger.
 
 #include "budgets/budget_ledger.h"
+#include "budgets/budget_view.h"
 
 #include <chrono>
 #include <map>
@@ -54,6 +55,10 @@
     /// Reserves `amount` for a request. Returns false and changes nothing if fewer tokens are available.
     bool reserve(const std::string& customer, tokens amount);
 
+    /// Records that callers have been sent an answer for `amount` of the reserved tokens. A negative amount
+    /// takes that back, which must happen before the reservation is settled.
+    void add_consumed_tokens(const std::string& customer, tokens amount);
+
     /// Ends a reservation and makes its unused tokens available again. Precondition: 0 <= used.
     void settle(const std::string& customer, tokens reserved, tokens used);
 
@@ -84,6 +89,9 @@
     allowance_change wanted_change(const std::string& customer, tokens unspent, int routers,
                                    std::chrono::milliseconds refill_duration, clock::time_point now) const;
 
+    /// Returns what became of the taken tokens of all customers.
+    held_tokens total() const;
+
     /// Returns the available tokens of every customer that has had tokens or demand at this router.
     std::map<std::string, tokens> available_by_customer() const;
 
@@ -91,6 +99,8 @@
     struct account {
         tokens available = 0;
         tokens reserved = 0;
+        tokens consumed = 0;           ///< Reserved tokens that callers have been sent an answer for.
+        tokens charged = 0;            ///< Tokens that ended requests have used.
         tokens waiting = 0;            ///< Tokens that queued requests wait for.
         double recent_demand = 0;      ///< Exponentially decaying sum of requested tokens, as of `demand_at`.
         clock::time_point demand_at{}; ///< Time of the last request.
--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -76,6 +76,12 @@
         serve_waiting_requests(false);
     }
 
+    /// Records that the caller of a running request has been sent an answer for `amount` of its reserved
+    /// tokens. A negative amount takes that back; it must be taken back before the reservation is settled.
+    void add_consumed_tokens(const std::string& customer, tokens amount) {
+        allowances_.add_consumed_tokens(customer, amount);
+    }
+
     /// Refills the allowances until `return_allowances` is called. Must be called only once.
     task<void> run();
 
@@ -89,6 +95,9 @@
         wake();
     }
 
+    /// Returns what became of the tokens that this router has taken from the ledger.
+    held_tokens held() const { return allowances_.total(); }
+
     /// Returns what this router knows of the customer's budget.
     budget_view view(const std::string& customer) const;
 
--- a/src/budgets/budget_view.h
+++ b/src/budgets/budget_view.h
@@ -31,4 +31,19 @@
     tokens available = 0; ///< Tokens of this router's allowance that can be reserved.
 };
 
+/// What became of the tokens that this router has taken from the ledger, for all customers together. If the
+/// process ends without a graceful stop, `lost()` tokens stay taken although nobody has used them.
+struct held_tokens {
+    tokens taken = 0;     ///< Tokens taken from the ledger and not returned.
+    tokens available = 0; ///< Part of them that is held in advance, for requests to come.
+    tokens reserved = 0;  ///< Part of them that running requests have reserved.
+    tokens consumed = 0;  ///< Part of `reserved` that callers have been sent an answer for.
+    tokens charged = 0;   ///< Part of them that ended requests have used.
+
+    /// Returns the tokens that a crash at this moment would lose.
+    tokens lost() const { return available + reserved - consumed; }
+
+    bool operator==(const held_tokens&) const = default;
+};
+
 } // namespace eelgrassgw
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -138,6 +138,7 @@
     void avoid_server(tracked_backend& server, milliseconds duration) {
         server.avoid_until = clock::now() + duration;
     }
+    void note_prompt_consumed();
     void settle_budget();
     void log_outcome();
     void count_outcome();
@@ -170,6 +171,8 @@
     std::vector<std::string> parts_;   ///< What the request has in common with others, for the quarantine.
     tokens reserved_tokens_ = 0;
     tokens charged_tokens_ = 0; ///< Part of `reserved_tokens_` that the customer is charged.
+    tokens consumed_tokens_ =
+        0; ///< Part of `reserved_tokens_` that counts as consumed while the request runs.
     std::vector<std::string> tried_server_ids_;
     send_record sends_;           ///< What is known of the sends to backend servers.
     bool has_claimed_id_ = false; ///< Whether a repetition with the same id is kept back for this request.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -119,6 +119,7 @@
     task<void> accept_callers();
     task<void> flush_log();
     task<void> run_maintenance();
+    void report_held_tokens();
     task<void> ask_peers_for_relays();
     task<text_reply> answer_readiness(text_request request);
     task<text_reply> answer_peer(text_request request);
@@ -151,6 +152,7 @@
     quarantine_sync<typename Platform::objects> quarantine_sync_;
     std::optional<tcp::acceptor> acceptor_;
     std::vector<std::weak_ptr<caller_session<core>>> sessions_;
+    held_tokens reported_held_tokens_;       ///< What the log last told about the tokens taken.
     std::set<std::string> announced_relays_; ///< Addresses of relays that relays or peers have announced.
     std::set<std::string> rejected_entries_; ///< Names of entries whose rejection has been logged.
 };
@@ -280,11 +282,34 @@
         metrics_.set("prompt_parts_in_quarantine", double(core_.quarantine.quarantined_prompt_part_count()));
         metrics_.set("requests_in_quarantine", double(core_.quarantine.quarantined_request_count()));
         metrics_.set("backend_servers_with_limit", double(core_.server_limits.limited_server_count()));
+        report_held_tokens();
         metrics_.set("log_lines_dropped", double(log_.dropped_lines()));
         co_await sleep_for(maintenance_interval);
     }
 }
 
+/// Tells in the log and the metrics what a crash of this process would lose.
+template <gateway_platform Platform>
+void gateway<Platform>::report_held_tokens() {
+    const held_tokens held = budgets_.held();
+    if (held == reported_held_tokens_) {
+        return;
+    }
+    reported_held_tokens_ = held;
+    Json::Value fields;
+    const auto report = [&](const char* name, tokens amount) {
+        fields[name] = Json::Int64(amount);
+        metrics_.set("tokens", double(amount), {{"state", name}});
+    };
+    report("taken", held.taken);
+    report("available", held.available);
+    report("reserved", held.reserved);
+    report("consumed", held.consumed);
+    report("charged", held.charged);
+    report("lost_by_a_crash", held.lost());
+    log_.write("tokens_held", std::move(fields));
+}
+
 /// Asks the peers for relays until both a configuration and a backend server are known, so that a router that
 /// cannot reach the store can read it through a relay.
 template <gateway_platform Platform>
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -82,6 +82,17 @@
     co_await answer_.send_whole(std::move(reply));
 }
 
+/// Counts the prompt as consumed once the first event is passed on: from then on a crash of this process does
+/// not lose its tokens.
+template <class Core>
+void exchange<Core>::note_prompt_consumed() {
+    if (reserved_tokens_ == 0 || consumed_tokens_ > 0) {
+        return;
+    }
+    consumed_tokens_ = std::min(terms_.prompt->prompt_tokens, reserved_tokens_);
+    core_.budgets.add_consumed_tokens(customer_->name, consumed_tokens_);
+}
+
 /// Charges the customer for the prompt, once, and for the events that were forwarded to the caller. A request
 /// of which nothing reached the caller is free.
 template <class Core>
@@ -94,6 +105,7 @@
         const tokens output = std::min(splitter_.event_count() * per_event, terms_.prompt->max_output_tokens);
         charged_tokens_ = terms_.prompt->prompt_tokens + output;
     }
+    core_.budgets.add_consumed_tokens(customer_->name, -consumed_tokens_);
     core_.budgets.settle(customer_->name, reserved_tokens_, charged_tokens_);
 }
 
--- a/test/gateway/allowance_table_test.cpp
+++ b/test/gateway/allowance_table_test.cpp
@@ -187,5 +187,29 @@
     EXPECT_LT(play_end_of_budget(0), covered_requests - 1) << "the load does not need the rule";
 }
 
+// Guards against a report that calls tokens lost which callers have been sent an answer for, or that leaves out
+// what waits in the allowance.
+TEST(held_tokens, crash_loses_the_allowance_and_what_running_requests_have_not_consumed) {
+    allowance_table table{allowance_policy{}};
+    table.add("a", 1000);
+    table.add("b", 500);
+    ASSERT_TRUE(table.reserve("a", 600));
+    ASSERT_TRUE(table.reserve("b", 200));
+    table.add_consumed_tokens("a", 450);
+    held_tokens held = table.total();
+    EXPECT_EQ(1500, held.taken);
+    EXPECT_EQ(700, held.available);
+    EXPECT_EQ(800, held.reserved);
+    EXPECT_EQ(700 + 150 + 200, held.lost());
+
+    table.add_consumed_tokens("a", -450);
+    table.settle("a", 600, 480);
+    held = table.total();
+    EXPECT_EQ(1500, held.taken);
+    EXPECT_EQ(480, held.charged);
+    EXPECT_EQ(0, held.consumed);
+    EXPECT_EQ(1020, held.lost());
+}
+
 } // namespace
 } // namespace eelgrassgw
