Places: evacuated data centres, cold servers and allowed regions are kept before each send

Cause: routers sent to servers of evacuated data centres, to cold servers without bound, and to servers in any region.

Change: src/places decides without network. The store's kind "evacuations" is listed every 0.3 of evacuation_limit, at most every 1.5 s (0.67 calls a second for each router), because a hanging watch would hide an evacuation. A cold server has one share for each request a second that it takes; the owner of a share follows from the routers in the budget ledger.

--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -5,6 +5,7 @@
 #include "base/event_sink.h"
 #include "budgets/allowance_table.h"
 #include "budgets/budget_view.h"
+#include "budgets/fleet_membership.h"
 #include "budgets/ledger_request.h"
 #include "budgets/write_history.h"
 #include "net/task.h"
@@ -107,6 +108,21 @@
                             known_ledger_.ledger.recent_writers(budget_ledger::active_router_window).size()));
     }
 
+    /// Returns the routers that the known ledger lists.
+    fleet_membership membership() const {
+        return {identity_.router,           routers_that_may_run(known_ledger_.ledger),
+                known_ledger_.position.era, known_ledger_asked_at_,
+                last_write_began_at_,       known_ledger_.position.revision != 0 && !ledger_is_recovering()};
+    }
+
+    /// Has the ledger read soon if it is known only from a call that began longer than `max_age` ago.
+    void refresh_ledger(std::chrono::milliseconds max_age) {
+        if (clock::now() - known_ledger_asked_at_ > max_age) {
+            must_read_ledger_ = true;
+            wake();
+        }
+    }
+
     /// Returns the datagram addresses of the other routers that wrote to the ledger recently.
     std::vector<std::string> other_router_addresses() const;
 
@@ -181,9 +197,11 @@
     allowance_table allowances_;
     event_sink_function log_;
     std::shared_ptr<const fleet_configuration> configuration_;
-    versioned_ledger known_ledger_;       ///< Newest ledger that this router has received.
-    clock::time_point known_ledger_at_{}; ///< Time at which `known_ledger_` was received.
-    clock::time_point last_write_at_{};   ///< Time at which the last applied write was confirmed.
+    versioned_ledger known_ledger_;             ///< Newest ledger that this router has received.
+    clock::time_point known_ledger_at_{};       ///< Time at which `known_ledger_` was received.
+    clock::time_point known_ledger_asked_at_{}; ///< Time at which the call began that returned it.
+    clock::time_point last_write_began_at_{};   ///< Time at which the last applied write began.
+    clock::time_point last_write_at_{};         ///< Time at which the last applied write was confirmed.
     std::chrono::milliseconds last_write_duration_{0}; ///< Duration of the last write, with its conflicts.
     std::uint64_t last_sequence_ = 0;                  ///< Sequence number of the newest write.
     std::uint64_t confirmed_sequence_ = 0; ///< Sequence number of the last write known to be in the ledger.
--- a/src/budgets/internal/budget_round.h
+++ b/src/budgets/internal/budget_round.h
@@ -61,6 +61,7 @@
     const auto started = clock::now();
     const bool answered = co_await submit(request);
     if (answered && confirmed_sequence_ == request.sequence) {
+        last_write_began_at_ = started;
         last_write_at_ = clock::now();
         last_write_duration_ =
             std::chrono::duration_cast<std::chrono::milliseconds>(last_write_at_ - started);
@@ -108,6 +109,7 @@
 /// Sends a request and updates the known ledger from the outcome. Returns false if the outcome is unknown.
 template <ledger_service Ledger>
 task<bool> budget_keeper<Ledger>::submit(const ledger_request& request) {
+    const auto asked_at = clock::now();
     const ledger_outcome outcome = co_await ledger_.submit(request);
     if (outcome.status == ledger_outcome::status_kind::unknown) {
         Json::Value fields;
@@ -118,6 +120,7 @@
     }
     if (outcome.current.position >= known_ledger_.position) {
         note_ledger(outcome.current);
+        known_ledger_asked_at_ = asked_at;
     }
     co_return true;
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -126,6 +126,9 @@
     task<void> refuse(refusal rejection);
     bool is_next_attempt_allowed(attempt_outcome last);
     std::shared_ptr<tracked_backend> choose_server();
+    place_terms make_terms() const {
+        return make_place_terms(*route_, customer_, configuration_->find_service(service_));
+    }
     void note_answer_progress();
     void note_whole_answer();
     void note_broken_answer(const tracked_backend& server);
@@ -175,6 +178,7 @@
     bool has_claimed_id_ = false; ///< Whether a repetition with the same id is kept back for this request.
     bool is_probe_ = false;     ///< Whether the request finds out for all routers if its parts are harmless.
     attempt_progress progress_; ///< Progress of the current attempt.
+    cold_permit cold_permit_;   ///< Room of the current attempt at a cold server.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
     std::optional<unread_prompt>
         unread_prompt_; ///< Prompt of the current attempt, until the server has read it.
@@ -240,9 +244,11 @@
         tried_server_ids_.push_back(server->server.id);
         attempt_fields_ = Json::objectValue;
         attempt_fields_["server"] = server->server.id;
+        cold_permit_ = core_.places.reserve(server->server, make_terms(), clock::now());
         const int sent_before = sends_.send_count();
         core_.server_limits.note_request(*server); // No other request may take its place meanwhile.
         const attempt_outcome outcome = co_await send_to(server);
+        cold_permit_.release();
         if (sends_.send_count() == sent_before) {
             server->limit.give_back(clock::now());
         }
@@ -286,7 +292,14 @@
         placement.shared_prompt_part = terms_.prompt->last_shared_part();
         placement.shared_tokens = terms_.prompt->shared_tokens;
     }
-    return choose_backend_server(core_.directory.ready_servers(service_), placement, clock::now());
+    const auto now = clock::now();
+    std::size_t kept_back = 0;
+    const auto candidates =
+        core_.places.available_servers(core_.directory.ready_servers(service_), make_terms(), now, kept_back);
+    if (kept_back > 0) {
+        core_.metrics.count("requests_kept_from_cold_servers");
+    }
+    return choose_backend_server(candidates, placement, now);
 }
 
 } // namespace eelgrassgw
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,6 +37,7 @@
     { T::configuration_kind } -> std::convertible_to<std::string>;
     { T::configuration_name } -> std::convertible_to<std::string>;
     { T::backend_server_kind } -> std::convertible_to<std::string>;
+    { T::evacuation_kind } -> std::convertible_to<std::string>;
     { T::quarantine_kind } -> std::convertible_to<std::string>;
     { T::quarantine_name } -> std::convertible_to<std::string>;
     { T::readiness_path } -> std::convertible_to<std::string>;
@@ -59,6 +60,10 @@
     static constexpr milliseconds maintenance_interval{500};
     /// Time between two rounds of asking the peers for relays.
     static constexpr milliseconds relay_query_interval{1000};
+    /// Age from which the list of routers is read again while a server is cold.
+    static constexpr milliseconds max_membership_age{700};
+    /// Time between two rounds of asking the peers for evacuations.
+    static constexpr milliseconds evacuation_query_interval{500};
     /// Time over which the routers spread their lists after all of them lost their watches, for each router.
     /// The store then gets at most a few hundred pages a second.
     static constexpr milliseconds relist_spread_per_router{2};
@@ -123,8 +128,14 @@
     task<text_reply> answer_readiness(text_request request);
     task<text_reply> answer_peer(text_request request);
     bool is_ready() const {
-        return !core_.draining && core_.configuration != nullptr && !core_.directory.empty();
+        return !core_.draining && core_.configuration != nullptr && !core_.directory.empty() &&
+               core_.places.knows_evacuations();
     }
+    task<text_reply> answer_evacuations();
+    task<result<Json::Value>> ask_peer(std::string peer, const char* path);
+    task<void> learn_evacuations();
+    void update_places();
+    follower_callbacks evacuation_callbacks();
     follower_callbacks common_callbacks();
     follower_callbacks configuration_callbacks();
     follower_callbacks backend_callbacks();
@@ -169,6 +180,7 @@
 
 template <gateway_platform Platform>
 result<done> gateway<Platform>::start() {
+    core_.places.set_settings(settings_.places, log_sink());
     const result<done> services_started = start_services();
     if (!services_started) {
         return services_started;
@@ -178,6 +190,11 @@
         return acceptor.error();
     }
     acceptor_.emplace(std::move(acceptor.value()));
+    if (settings_.places.evacuation_limit) {
+        spawn(object_follower<typename Platform::objects>::follow(objects_, Platform::evacuation_kind,
+                                                                  evacuation_callbacks()));
+        spawn(learn_evacuations());
+    }
     spawn(accept_callers());
     spawn(object_follower<typename Platform::objects>::follow(objects_, Platform::configuration_kind,
                                                               configuration_callbacks()));
@@ -268,6 +285,7 @@
             fields["servers"] = Json::UInt64(lapsed);
             log_.write("backend_servers_lapsed", std::move(fields));
         }
+        update_places();
         core_.retries.set_router_count(budgets_.router_count());
         const std::vector<std::string> other_routers = budgets_.other_router_addresses();
         core_.notices.set_peers(other_routers);
@@ -294,10 +312,7 @@
             if (peer == settings_.peer_listen) {
                 continue;
             }
-            text_request request(http::verb::get, relays_path, 11);
-            const call_timeouts limits;
-            const auto reply = co_await call_http(control_pool_, peer, std::move(request), limits);
-            const auto relays = reply ? parse_json(reply.value().body()) : result<Json::Value>(reply.error());
+            const auto relays = co_await ask_peer(peer, relays_path);
             if (relays) {
                 add_announced_relays(string_elements(relays.value()));
             }
@@ -316,6 +331,9 @@
 
 template <gateway_platform Platform>
 task<text_reply> gateway<Platform>::answer_peer(text_request request) {
+    if (request.target() == evacuations_path) {
+        co_return co_await answer_evacuations();
+    }
     if (request.target() != relays_path) {
         co_return make_reply(http::status::not_found, "text/plain", "");
     }
@@ -330,6 +348,34 @@
     co_return make_reply(http::status::ok, "application/json", to_text(relays));
 }
 
+template <gateway_platform Platform>
+task<text_reply> gateway<Platform>::answer_evacuations() {
+    if (!settings_.places.evacuation_limit || !core_.places.knows_evacuations()) {
+        co_return make_reply(http::status::service_unavailable, "text/plain", "");
+    }
+    Json::Value known(Json::arrayValue);
+    for (const std::string& data_centre : core_.places.evacuations().data_centres()) {
+        known.append(data_centre);
+    }
+    co_return make_reply(http::status::ok, "application/json", to_text(known));
+}
+
+/// Tells the place rules which routers there are. The list is read from the ledger while a server is cold,
+/// about once a second.
+template <gateway_platform Platform>
+void gateway<Platform>::update_places() {
+    const auto now = clock::now();
+    const std::size_t cold = core_.configuration == nullptr
+                                 ? 0
+                                 : core_.places.cold_count(core_.directory.all(), *core_.configuration, now);
+    core_.places.note_membership(budgets_.membership(), now);
+    if (cold > 0) {
+        budgets_.refresh_ledger(max_membership_age);
+    }
+    metrics_.set("evacuated_data_centres", double(core_.places.evacuations().data_centres().size()));
+    metrics_.set("cold_servers", double(cold));
+}
+
 template <gateway_platform Platform>
 void gateway<Platform>::close_idle_sessions() {
     for (const auto& each : sessions_) {
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -10,6 +10,7 @@
 #include "gateway/unrepeatable_requests.h"
 #include "limits/limit_notices.h"
 #include "net/connection_pool.h"
+#include "places/place_rules.h"
 #include "placing/prompt_notices.h"
 #include "quarantine/crash_detector.h"
 #include "quarantine/part_quarantine.h"
@@ -85,6 +86,7 @@
     notice_channel notices;
     prompt_notices long_prompts;
     limit_notices server_limits;
+    place_rules places;
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
     unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -36,9 +36,10 @@
         core_.pool.put_back(std::move(upstream));
         co_return attempt_outcome::cancelled;
     }
-    // While this task waited for the connection, the server may have begun to leave or to pause, or a part of
-    // the prompt may have got into quarantine.
-    if (!server->accepts_requests(clock::now()) || is_kept_back()) {
+    // While this task waited for the connection, the server may have begun to leave or to pause, a part of
+    // the prompt may have got into quarantine, or the server's data centre may have been evacuated.
+    if (!server->accepts_requests(clock::now()) || is_kept_back() ||
+        !core_.places.begin_send(server->server, make_terms(), cold_permit_, clock::now())) {
         error_ = "server " + server->server.id + " accepts no requests like this one";
         core_.pool.put_back(std::move(upstream));
         co_return attempt_outcome::not_sent;
@@ -189,6 +190,9 @@
         fields["pause_ms"] = Json::Int64(notice.pause->count());
         core_.log.write("backend_server_paused", std::move(fields));
     }
+    if (notice.cold_time_left && kind != answer_kind::invalid && kind != answer_kind::wrong_server) {
+        core_.places.note_cold_time(server.server, *notice.cold_time_left, now);
+    }
     note_server_limit(server, notice, kind);
 }
 
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -42,11 +42,27 @@
     if (std::optional<refusal> quarantined = check_quarantine()) {
         return std::move(*quarantined);
     }
-    const auto pause = core_.directory.time_until_accepting(service_, clock::now());
+    const auto now = clock::now();
+    const auto ready = core_.directory.ready_servers(service_);
+    const auto allowed = core_.places.allowed_servers(ready, make_terms());
+    if (allowed.empty() && !ready.empty()) {
+        return {refusal_reason::no_backend_server,
+                "no backend server of service \"" + service_ +
+                    "\" may get the request: there is none outside " +
+                    "of evacuated data centres and within the allowed regions",
+                retry_after_outage};
+    }
+    const auto pause = core_.places.time_until_available(allowed, make_terms(), now);
+    if (!pause && !allowed.empty()) {
+        return {refusal_reason::overloaded,
+                "every backend server of service \"" + service_ +
+                    "\" is cold and this router has no share of it",
+                retry_after_overload};
+    }
     if (pause.value_or(milliseconds(0)) > milliseconds(0)) {
         return {refusal_reason::overloaded,
                 "every backend server of service \"" + service_ +
-                    "\" asked for a pause or has reached its limit",
+                    "\" asked for a pause, has reached its limit or is cold",
                 *pause};
     }
     if (last == attempt_outcome::not_sent) {
--- a/src/gateway/internal/gateway_following.h
+++ b/src/gateway/internal/gateway_following.h
@@ -72,6 +72,7 @@
             }
         }
         core_.directory.replace_all(entries, after_outage, clock::now());
+        core_.places.note_servers(entries, clock::now());
         update_relays();
         Json::Value fields;
         fields["servers"] = Json::UInt64(entries.size());
@@ -95,6 +96,7 @@
     if (entry) {
         const bool draining = entry->server.draining;
         core_.directory.put(*entry);
+        core_.places.note_server(*entry, clock::now());
         fields["state"] = draining ? "draining" : "ready";
     } else {
         const bool lapsed = change.removed && after_outage;
@@ -104,6 +106,55 @@
     log_.write("backend_server_changed", std::move(fields));
 }
 
+template <gateway_platform Platform>
+follower_callbacks gateway<Platform>::evacuation_callbacks() {
+    follower_callbacks callbacks = common_callbacks();
+    callbacks.list_interval = core_.places.evacuation_list_interval();
+    callbacks.listed = [this](const object_listing& all, bool) {
+        core_.places.note_evacuations(all, clock::now());
+    };
+    return callbacks;
+}
+
+/// Asks the peers for the evacuations while the store does not answer and they are not known. If no peer
+/// knows them either, goes on without them after the time in which an evacuation must be in force.
+template <gateway_platform Platform>
+task<void> gateway<Platform>::learn_evacuations() {
+    const auto deadline = clock::now() + *settings_.places.evacuation_limit;
+    while (!core_.places.knows_evacuations()) {
+        co_await sleep_for(evacuation_query_interval);
+        if (core_.places.knows_evacuations() || !paths_.all_paths_failed()) {
+            continue;
+        }
+        for (const std::string& peer : settings_.peers) {
+            const auto known = co_await ask_peer(peer, evacuations_path);
+            if (known) {
+                core_.places.note_evacuations_known_elsewhere(string_elements(known.value()));
+            }
+        }
+        if (!core_.places.knows_evacuations() && clock::now() >= deadline) {
+            log_.write_failure("evacuations_unknown");
+            core_.places.note_evacuations_known_elsewhere({});
+        }
+    }
+}
+
+/// Sends a GET to a peer and returns its reply, which is JSON.
+template <gateway_platform Platform>
+task<result<Json::Value>> gateway<Platform>::ask_peer(std::string peer, const char* path) {
+    text_request request(http::verb::get, path, 11);
+    const call_timeouts limits;
+    const auto reply = co_await call_http(control_pool_, peer, std::move(request), limits);
+    if (!reply) {
+        co_return reply.error();
+    }
+    if (reply.value().result() != http::status::ok) {
+        co_return make_failure(errc::malformed, "ask peer", peer,
+                               "status " + std::to_string(reply.value().result_int()));
+    }
+    co_return parse_json(reply.value().body());
+}
+
 template <gateway_platform Platform>
 std::optional<backend_directory::entry> gateway<Platform>::decode_entry(const followed_object& object) {
     const auto decoded = Platform::decode_backend_server(object.name, object.content);
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -67,6 +67,9 @@
     /// Whether the answer has a limit that cannot be read, so that it says neither which nor that there is
     /// none.
     bool has_unreadable_limit = false;
+
+    /// Time for which the server stays cold, if it states that; zero if it is warm.
+    std::optional<std::chrono::milliseconds> cold_time_left;
 };
 
 } // namespace eelgrassgw
--- a/src/relay/relay_protocol.h
+++ b/src/relay/relay_protocol.h
@@ -14,4 +14,8 @@
 /// returns all addresses as a JSON list.
 inline constexpr const char* relays_path = "/relays";
 
+/// Path at which a router tells the evacuated data centres that it knows, as a JSON list. The status is 503
+/// while it knows nothing of evacuations.
+inline constexpr const char* evacuations_path = "/evacuations";
+
 } // namespace eelgrassgw
--- a/src/store/object_follower.h
+++ b/src/store/object_follower.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace eelgrassgw {
@@ -29,6 +30,10 @@
 
     /// Time that one watch call waits for changes. A longer one costs fewer calls.
     std::chrono::milliseconds watch_wait{2000};
+
+    /// If present, no watch is used: the objects are listed again after this time. A watch that hangs is
+    /// noticed only by its timeout, while a list that is not answered at once has failed.
+    std::optional<std::chrono::milliseconds> list_interval;
 };
 
 /// Lists all objects and then watches for changes. Lists again if the store no longer has the changes since
@@ -66,6 +71,10 @@
             const bool ok = needs_list_ ? co_await list() : co_await watch();
             if (ok) {
                 backoff_.reset();
+                if (callbacks_.list_interval) {
+                    needs_list_ = true;
+                    co_await sleep_for(*callbacks_.list_interval);
+                }
             } else {
                 co_await sleep_for(backoff_.next_delay());
             }
--- a/test/gateway/platform_store_stand_in.cpp
+++ b/test/gateway/platform_store_stand_in.cpp
@@ -134,6 +134,9 @@
     if (!name.empty()) {
         co_return read(kind, name);
     }
+    if (kind == unanswered_kind) {
+        co_await sleep_for(forever);
+    }
     const std::string since_revision = query_value(query, "watch");
     if (!since_revision.empty()) {
         const std::chrono::milliseconds wait(parse_number(query_value(query, "waitMs")));
@@ -152,6 +155,9 @@
     body["events"] = Json::Value(Json::arrayValue);
     const std::uint64_t era = era_;
     for (;;) {
+        if (hanging_watches) {
+            co_await sleep_for(forever);
+        }
         if (era != era_) {
             co_return make_reply(http::status::gone, "text/plain", "");
         }
--- a/test/gateway/platform_store_stand_in.h
+++ b/test/gateway/platform_store_stand_in.h
@@ -42,6 +42,8 @@
 
     bool silent = false;                ///< True if calls get no answer.
     bool busy = false;                  ///< True if calls get status 503.
+    bool hanging_watches = false;       ///< True if watches get no answer; lists and writes do.
+    std::string unanswered_kind;        ///< Kind whose lists and watches get no answer; empty for none.
     int write_answers_to_lose = 0;      ///< Number of writes to apply without an answer.
     bool watch_history_expired = false; ///< True if the next watch gets status 410.
     std::size_t page_size = 500;        ///< Largest number of objects in a page of a list.
