--- a/test/gateway/scripted_backend.h
+++ b/test/gateway/scripted_backend.h
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <gtest/gtest.h>
 
@@ -131,6 +132,8 @@
 public:
     using script_type = std::function<task<void>(backend_exchange&)>;
 
+    static constexpr std::size_t max_body_bytes = 64U << 20U; ///< Largest body of a request that is read.
+
     scripted_backend(asio::io_context& context, std::string address, script_type script)
         : address_(std::move(address)), script_(std::make_shared<script_type>(std::move(script))) {
         auto acceptor = listen_on(context, address_);
@@ -180,15 +183,17 @@
         std::string note;
         net_error ec;
         for (bool is_first = true; !ec && socket.is_open(); is_first = false) {
-            text_request request;
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(max_body_bytes);
             co_await wait_while(*pause);
-            co_await http::async_read(socket, buffer, request, with_error(ec));
+            co_await http::async_read(socket, buffer, parser, with_error(ec));
             co_await wait_while(*pause); // The pause may have begun while this task waited for bytes.
             if (ec) {
                 break;
             }
+            text_request request = parser.release();
             arrived->push_back(request);
-            backend_exchange current(socket, request, is_first, *pause, note);
+            backend_exchange current(socket, std::move(request), is_first, *pause, note);
             co_await (*script)(current);
         }
     }
--- a/test/gateway/started_program.h
+++ b/test/gateway/started_program.h
@@ -46,6 +46,9 @@
     started_program(const started_program&) = delete;
     started_program& operator=(const started_program&) = delete;
 
+    /// Returns the program's process id.
+    pid_t pid() const { return pid_; }
+
     /// Sends a signal to the program.
     void send_signal(int number) const { kill(pid_, number); }
 
