Intake: bodies are counted as they are read, against one budget per process

Cause: callers that leave bodies unfinished, or send whole ones for a server that reads nothing, took 77 to 177 MB of a process with 48 MB stated, and connections were not bounded by the stated descriptors.

Change: src/intake counts what each connection holds, on all listeners of the router and the relay, and closes the one with the least recent progress when the budget is exceeded. The copy of a body for the server is freed once it is written.

--- a/src/gateway/caller_answer.cpp
+++ b/src/gateway/caller_answer.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_answer.h"
 
+#include "intake/counted_write.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -16,8 +18,7 @@
         reply.body().clear();
     }
     reply.prepare_payload();
-    net_error ec;
-    co_await http::async_write(caller_, reply, with_error(ec));
+    net_error ec = co_await write_counted(caller_, reply, place_);
     finished_ = !ec;
     co_return finished_;
 }
@@ -40,10 +41,12 @@
         co_return true; // An empty chunk would end the body.
     }
     net_error ec;
+    const counted_sending counted(place_, piece.size());
     if (reads_chunks_) {
-        co_await asio::async_write(caller_, http::make_chunk(asio::buffer(piece)), with_error(ec));
+        co_await asio::async_write(caller_, http::make_chunk(asio::buffer(piece)), counted.progress(),
+                                   with_error(ec));
     } else {
-        co_await asio::async_write(caller_, asio::buffer(piece), with_error(ec));
+        co_await asio::async_write(caller_, asio::buffer(piece), counted.progress(), with_error(ec));
     }
     co_return !ec;
 }
--- a/src/gateway/caller_answer.h
+++ b/src/gateway/caller_answer.h
@@ -2,6 +2,7 @@
 
 /// Writes the answer to one request to its caller.
 
+#include "intake/intake_guard.h"
 #include "net/task.h"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -18,9 +19,11 @@
 class caller_answer {
 public:
     /// `request` is the request that is answered. `keep_alive` says whether the connection may stay open
-    /// after the answer. Precondition: `caller` outlives this object.
-    caller_answer(tcp::socket& caller, const text_request& request, bool keep_alive)
-        : caller_(caller), keep_alive_(keep_alive), head_only_(request.method() == http::verb::head),
+    /// after the answer. `place` counts the bytes that the caller has not taken yet. Precondition: `caller`
+    /// and `place` outlive this object.
+    caller_answer(tcp::socket& caller, const text_request& request, bool keep_alive, intake_place& place)
+        : caller_(caller), place_(place), keep_alive_(keep_alive),
+          head_only_(request.method() == http::verb::head),
           reads_chunks_(request.version() >= first_version_with_chunks) {}
 
     /// Sends a whole answer. Returns false if the caller has closed the connection. Precondition: nothing was
@@ -55,6 +58,7 @@
     static constexpr unsigned first_version_with_chunks = 11; ///< HTTP/1.1, as Beast counts versions.
 
     tcp::socket& caller_;
+    intake_place& place_;
     bool keep_alive_;
     bool head_only_;    ///< True if the answer has no body, as for a HEAD request.
     bool reads_chunks_; ///< False if a body of unknown length has to end with its connection.
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -3,6 +3,7 @@
 /// Serves one caller's connection: reads requests one after the other and answers each of them.
 
 #include "gateway/exchange.h"
+#include "intake/body_reader.h"
 #include "net/socket_deadline.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -44,8 +45,18 @@
     /// Largest number of bytes of later requests that are read while a request is served.
     static constexpr std::size_t max_read_ahead_bytes = 64U << 10U;
 
+    /// Time that a caller which is refused for want of room has to take the refusal.
+    static constexpr std::chrono::milliseconds refusal_time{1000};
+
     caller_session(Core& core, tcp::socket caller) : core_(core), caller_(std::move(caller)) {}
 
+    /// Takes a place for the connection. Returns false if there is none. Must be called before `run`.
+    bool take_place(std::size_t other_connections) {
+        place_ = core_.intake->open(
+            place_kind::caller, [this](place_state state) { lose_place(state); }, other_connections);
+        return place_ != nullptr;
+    }
+
     /// Serves requests until the connection ends.
     task<void> run();
 
@@ -95,7 +106,9 @@
         net_error ignored; // There is nothing to read from a closed socket.
         return caller_.available(ignored) > 0;
     }
-    task<bool> read_request(body_parser& parser);
+    void lose_place(place_state state);
+    task<bool> read_request(body_parser& parser, clock::time_point started);
+    task<void> refuse_without_room(const text_request& request, clock::time_point started);
     task<void> refuse_unread_request(refusal rejection);
     task<bool> serve(const text_request& request, clock::time_point started);
     task<void> watch_caller(std::shared_ptr<exchange_control> control,
@@ -103,6 +116,7 @@
 
     Core& core_;
     tcp::socket caller_;
+    std::unique_ptr<intake_place> place_;
     boost::beast::flat_buffer buffer_;
     bool idle_ = false;
     std::weak_ptr<exchange_control> current_control_; ///< Control of the request in progress.
@@ -115,21 +129,45 @@
     while (co_await wait_for_bytes()) {
         const auto started = clock::now();
         auto parser = std::make_unique<body_parser>();
-        if (!co_await read_request(*parser)) {
+        if (!co_await read_request(*parser, started)) {
             break;
         }
         const text_request request = parser->release();
         parser.reset();
+        if (!place_->begin_serving(request.body().size())) {
+            co_await refuse_without_room(request, started);
+            break;
+        }
         const running_request counted(core_, request.body().size());
         const bool keep_alive = co_await serve(request, started);
-        if (!keep_alive || core_.closing_connections) {
+        if (!keep_alive || core_.closing_connections || place_->is_lost()) {
             break;
         }
+        place_->end_request();
+        if (buffer_.size() == 0) {
+            buffer_.shrink_to_fit();
+        }
     }
     net_error ignored;
     caller_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+/// Ends the wait on the connection when it loses its place: the session's own task then refuses the request
+/// or closes the connection. A caller that does not take its answer cannot be told anything.
+template <class Core>
+void caller_session<Core>::lose_place(place_state state) {
+    net_error ignored;
+    if (state != place_state::sending) {
+        caller_.cancel(ignored);
+        return;
+    }
+    if (const auto control = current_control_.lock()) {
+        control->note_caller_left();
+    }
+    caller_.set_option(asio::socket_base::linger(true, 0), ignored);
+    caller_.close(ignored);
+}
+
 /// Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long, or
 /// if the router closes its idle connections.
 template <class Core>
@@ -137,7 +175,7 @@
     if (buffer_.size() > 0) {
         co_return true;
     }
-    if (core_.closing_connections) {
+    if (core_.closing_connections || place_->is_lost()) {
         co_return has_unread_bytes();
     }
     constexpr std::size_t first_read_bytes = 4096;
@@ -156,7 +194,8 @@
 /// Reads one whole request. If the request exceeds a limit or cannot be parsed, sends a refusal and returns
 /// false.
 template <class Core>
-task<bool> caller_session<Core>::read_request(body_parser& parser) {
+task<bool> caller_session<Core>::read_request(body_parser& parser, clock::time_point started) {
+    place_->begin_reading();
     const caller_limits request_limits = current_limits();
     buffer_.max_size(request_limits.max_header_bytes + max_read_ahead_bytes);
     parser.header_limit(static_cast<std::uint32_t>(request_limits.max_header_bytes));
@@ -180,12 +219,16 @@
             co_await http::async_write(caller_, proceed, with_error(ec));
         }
         const socket_deadline limit(caller_, request_limits.idle_timeout);
-        co_await http::async_read(caller_, buffer_, parser, with_error(ec));
+        ec = co_await read_body(caller_, buffer_, parser, *place_);
         timed_out = limit.passed();
     }
     if (!ec) {
         co_return true;
     }
+    if (place_->is_lost() && parser.is_header_done()) {
+        co_await refuse_without_room(parser.get(), started);
+        co_return false;
+    }
     std::optional<refusal> rejection = refusal_for_read_error(ec);
     if (rejection) {
         co_await refuse_unread_request(std::move(*rejection));
@@ -195,6 +238,15 @@
     co_return false;
 }
 
+/// Refuses a request for which the process has no room; the connection closes afterwards.
+template <class Core>
+task<void> caller_session<Core>::refuse_without_room(const text_request& request, clock::time_point started) {
+    const socket_deadline limit(caller_, refusal_time);
+    exchange<Core> refused(core_, request, caller_, std::make_shared<exchange_control>(caller_, *place_),
+                           started);
+    co_await refused.refuse_without_room();
+}
+
 /// Refuses a request that was not read to its end; the connection closes afterwards.
 template <class Core>
 task<void> caller_session<Core>::refuse_unread_request(refusal rejection) {
@@ -204,13 +256,13 @@
     core_.log.write_failure("request_not_read", std::move(fields));
     core_.metrics.count("requests", {{"outcome", name_of(rejection.reason)}});
     const text_request unread_request;
-    caller_answer answer(caller_, unread_request, false);
+    caller_answer answer(caller_, unread_request, false, *place_);
     co_await answer.send_whole(to_reply(rejection));
 }
 
 template <class Core>
 task<bool> caller_session<Core>::serve(const text_request& request, clock::time_point started) {
-    auto control = std::make_shared<exchange_control>(caller_);
+    auto control = std::make_shared<exchange_control>(caller_, *place_);
     current_control_ = control;
     auto watch_done = std::make_shared<asio::steady_timer>(core_.context, clock::time_point::max());
     asio::co_spawn(core_.context, watch_caller(control, watch_done), asio::detached);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -92,12 +92,16 @@
              std::shared_ptr<exchange_control> control, clock::time_point started)
         : core_(core), request_(request), shared_control_(std::move(control)), control_(*shared_control_),
           started_(started), timeout_timer_(core.context),
-          answer_(caller, request, request.keep_alive() && !core.closing_connections),
+          answer_(caller, request, request.keep_alive() && !core.closing_connections, control_.place()),
           configuration_(core.configuration) {}
 
     /// Serves the request. Returns whether the connection can take another request.
     task<bool> serve();
 
+    /// Refuses a request that is not served because the process has no room for it; its body need not have
+    /// been read. The connection must close afterwards. Precondition: the request's head was read.
+    task<void> refuse_without_room();
+
 private:
     void decode_terms();
     void claim_id();
@@ -211,6 +215,20 @@
     co_return answer_.connection_reusable() && !control_.cancelled();
 }
 
+template <class Core>
+task<void> exchange<Core>::refuse_without_room() {
+    decode_terms();
+    if (core_.unrepeatable.contains(terms_.id)) {
+        sends_.note_earlier_attempt();
+    }
+    answer_.close_connection_afterwards();
+    refusal rejection{refusal_reason::overloaded, "this router has no room for the request",
+                      intake_guard::retry_after};
+    co_await refuse(std::move(rejection));
+    control_.finish();
+    log_outcome();
+}
+
 template <class Core>
 void exchange<Core>::start_timeout() {
     deadline_ = started_ + std::min(route_->timeout, terms_.deadline.value_or(route_->timeout));
--- a/src/gateway/exchange_control.h
+++ b/src/gateway/exchange_control.h
@@ -2,6 +2,7 @@
 
 /// Cancels an exchange when its caller leaves or its deadline passes.
 
+#include "intake/intake_guard.h"
 #include "net/connection_pool.h"
 #include "net/task.h"
 
@@ -11,8 +12,11 @@
 /// deadline. Not thread-safe.
 class exchange_control {
 public:
-    /// Precondition: `caller` outlives the exchange.
-    explicit exchange_control(tcp::socket& caller) : caller_(caller) {}
+    /// `place` counts what the exchange holds. Precondition: `caller` and `place` outlive the exchange.
+    exchange_control(tcp::socket& caller, intake_place& place) : caller_(caller), place_(place) {}
+
+    /// Returns the caller's share in the limits of the process.
+    intake_place& place() { return place_; }
 
     /// Makes a cancellation of the exchange reset `upstream`, which makes the backend server stop.
     void attach_upstream(tcp::socket& upstream) {
@@ -72,6 +76,7 @@
     }
 
     tcp::socket& caller_;
+    intake_place& place_;
     tcp::socket* upstream_ = nullptr;
     bool caller_left_ = false;
     bool timed_out_ = false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -79,6 +79,7 @@
     gateway(asio::io_context& context, gateway_settings settings, event_log& log, metrics_registry& metrics)
         : context_(context), settings_(std::move(settings)), log_(log), metrics_(metrics),
           control_pool_(context), paths_(control_pool_, settings_.store, log_sink()), objects_(paths_),
+          intake_(derive_intake_limits(settings_.resources), log_sink(), metrics),
           incarnation_(settings_.name + "/" + random_id()),
           direct_ledger_(context, typename Platform::budgets(paths_), log_sink()),
           ledger_(control_pool_, direct_ledger_, log_sink()),
@@ -86,7 +87,9 @@
                    log_sink()),
           core_(context, budgets_, log, metrics, settings_.retries, incarnation_, settings_.notice_listen),
           quarantine_sync_(objects_, Platform::quarantine_kind, Platform::quarantine_name, core_.quarantine,
-                           core_.notices, log_sink()) {}
+                           core_.notices, log_sink()) {
+        core_.intake = &intake_;
+    }
 
     /// Starts to listen and to follow the store. Fails if an address cannot be bound.
     result<done> start();
@@ -143,6 +146,7 @@
     connection_pool control_pool_; ///< Connections to the store, to relays and to peers.
     store_paths paths_;
     typename Platform::objects objects_;
+    intake_guard intake_;
     std::string incarnation_;          ///< Identifies this run of the process; differs after a restart.
     ledger_writer_type direct_ledger_; ///< Writes to the store directly when no relay answers.
     ledger_client_type ledger_;
@@ -189,6 +193,7 @@
     spawn(quarantine_sync_.update_store());
     spawn(budgets_.run());
     spawn(flush_log());
+    spawn(intake_.report_metrics());
     spawn(run_maintenance());
     spawn(ask_peers_for_relays());
     return done{};
@@ -198,18 +203,20 @@
 result<done> gateway<Platform>::start_services() {
     result<done> started = done{};
     if (!settings_.readiness_listen.empty()) {
-        started = http_service::start(context_, settings_.readiness_listen,
-                                      [this](text_request r) { return answer_readiness(std::move(r)); });
+        started = http_service::start(
+            context_, settings_.readiness_listen,
+            [this](text_request r) { return answer_readiness(std::move(r)); }, &intake_);
     }
     if (started && !settings_.peer_listen.empty()) {
-        started = http_service::start(context_, settings_.peer_listen,
-                                      [this](text_request r) { return answer_peer(std::move(r)); });
+        started = http_service::start(
+            context_, settings_.peer_listen, [this](text_request r) { return answer_peer(std::move(r)); },
+            &intake_);
     }
     if (started && !settings_.notice_listen.empty()) {
         started = core_.notices.start(settings_.notice_listen);
     }
     if (started && !settings_.metrics_listen.empty()) {
-        started = serve_metrics(context_, settings_.metrics_listen, metrics_);
+        started = serve_metrics(context_, settings_.metrics_listen, metrics_, &intake_);
     }
     return started;
 }
@@ -246,6 +253,11 @@
             continue;
         }
         auto session = std::make_shared<caller_session<core>>(core_, std::move(caller));
+        if (!session->take_place(core_.pool.idle_count())) {
+            core_.pool.close_all_idle();
+            metrics_.count("connections_not_accepted");
+            continue;
+        }
         sessions_.push_back(session);
         spawn(session->run());
     }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -8,6 +8,7 @@
 #include "gateway/reply_evidence.h"
 #include "gateway/request_terms.h"
 #include "gateway/unrepeatable_requests.h"
+#include "intake/intake_guard.h"
 #include "limits/limit_notices.h"
 #include "net/connection_pool.h"
 #include "placing/prompt_notices.h"
@@ -74,6 +75,7 @@
         log.write_failure(event, std::move(fields));
     }
 
+    intake_guard* intake = nullptr; ///< Limits of the connections; set before the first one is accepted.
     asio::io_context& context;
     Budgets& budgets;
     event_log& log;
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -71,12 +71,16 @@
     metadata.customer = customer_ == nullptr ? "" : customer_->name;
     metadata.urgency = customer_ != nullptr && customer_->priority ? *customer_->priority : route_->priority;
     metadata.last_event_id = splitter_.last_id();
+    control_.place().set_body_copies(2); // That of the caller's request and that of `outgoing`.
     text_request outgoing = core_.protocol.make_backend_request(request_, terms_, metadata);
     const connection_history history =
         upstream.requests_sent == 0 ? connection_history::first_request : connection_history::reused;
     attempt_fields_["earlier_requests"] = upstream.requests_sent++;
     net_error ec;
     co_await http::async_write(upstream.socket, outgoing, with_error(ec));
+    std::string().swap(
+        outgoing.body()); // The answer may take long, and another attempt copies the body again.
+    control_.place().set_body_copies(1);
     // A server may answer before it has read the whole request, so a failed write does not end the attempt.
     backend_reply reply(upstream, request_.method() == http::verb::head);
     const backend_reply::head_classifier classify = [&](const reply_head& head) {
--- a/src/gateway/internal/exchange_forwarding.h
+++ b/src/gateway/internal/exchange_forwarding.h
@@ -32,6 +32,7 @@
         const auto state = co_await reply.read_body_piece(bytes);
         server.last_heard_at = clock::now();
         std::string complete_events = splitter_.append(bytes);
+        control_.place().set_answer_bytes(splitter_.incomplete_bytes());
         if (state != backend_reply::body_state::more) {
             attempt_fields_["bytes_after_last_event"] = Json::UInt64(splitter_.incomplete_bytes());
         }
@@ -96,6 +97,7 @@
         const auto state = co_await reply.read_body_piece(bytes);
         server.last_heard_at = clock::now();
         body += bytes;
+        control_.place().set_answer_bytes(body.size());
         if (state == backend_reply::body_state::broken) {
             error_ = reply.error();
             co_return control_.cancelled() ? attempt_outcome::cancelled
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -75,6 +75,18 @@
     /// Closes idle connections that have expired and those that the peer has closed.
     void close_stale();
 
+    /// Closes all idle connections.
+    void close_all_idle() { idle_.clear(); }
+
+    /// Returns the number of idle connections.
+    std::size_t idle_count() const {
+        std::size_t count = 0;
+        for (const auto& [address, connections] : idle_) {
+            count += connections.size();
+        }
+        return count;
+    }
+
     /// Returns the number of connections opened so far.
     std::size_t opened_count() const { return opened_; }
 
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -1,5 +1,7 @@
 #include "net/http_service.h"
 
+#include "intake/body_reader.h"
+#include "intake/counted_write.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
 #include "net/socket_deadline.h"
@@ -7,7 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace eelgrassgw {
 
@@ -16,53 +17,116 @@
 // Wait after a failed accept, which happens for instance when no file descriptor is free.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
-task<void> serve_connection(tcp::socket socket, std::shared_ptr<http_service::handler> serve) {
+/// What the connections of one service share.
+struct service_state {
+    http_service::handler serve;
+    std::shared_ptr<intake_guard> intake;
+    place_kind kind = place_kind::control;
+};
+
+/// Limits of a service whose process does not count its connections.
+struct own_intake {
+    metrics_registry metrics;
+    intake_guard guard{derive_intake_limits({}), [](const char*, const Json::Value&) {}, metrics};
+};
+
+/// Reads one whole request. Returns false if the connection ended or lost its place.
+task<bool> read_request(tcp::socket& socket, boost::beast::flat_buffer& buffer,
+                        http::request_parser<http::string_body>& parser, intake_place& place) {
+    parser.body_limit(http_service::max_request_bytes);
+    net_error ec;
+    const socket_deadline deadline(socket, http_service::idle_timeout);
+    if (buffer.size() == 0) {
+        constexpr std::size_t first_read_bytes = 4096;
+        const std::size_t n =
+            co_await socket.async_read_some(buffer.prepare(first_read_bytes), with_error(ec));
+        buffer.commit(n);
+    }
+    if (!ec && !place.is_lost()) {
+        place.begin_reading();
+        co_await http::async_read_header(socket, buffer, parser, with_error(ec));
+    }
+    if (!ec && !place.is_lost()) {
+        ec = co_await read_body(socket, buffer, parser, place);
+    }
+    co_return !ec && !place.is_lost();
+}
+
+task<void> serve_connection(std::shared_ptr<tcp::socket> shared_socket, std::shared_ptr<service_state> state,
+                            std::unique_ptr<intake_place> place) {
+    tcp::socket& socket = *shared_socket;
     boost::beast::flat_buffer buffer{connection::max_unparsed_bytes};
     set_connection_options(socket, connection_pool::unacknowledged_timeout);
     for (;;) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(http_service::max_request_bytes);
-        net_error ec;
-        {
-            const socket_deadline deadline(socket, http_service::idle_timeout);
-            co_await http::async_read(socket, buffer, parser, with_error(ec));
-        }
-        if (ec) {
+        if (!co_await read_request(socket, buffer, parser, *place)) {
             co_return;
         }
         const bool keep_alive_requested = parser.get().keep_alive();
-        text_reply reply = co_await (*serve)(parser.release());
-        reply.keep_alive(keep_alive_requested);
+        text_reply reply;
+        const bool has_room = place->begin_serving(parser.get().body().size());
+        if (has_room) {
+            reply = co_await state->serve(parser.release());
+        } else {
+            reply = make_reply(http::status::service_unavailable, "text/plain", "no room for the request");
+            reply.set(http::field::retry_after, "1");
+        }
+        place->set_body_copies(0); // The handler has released the request.
+        reply.keep_alive(keep_alive_requested && has_room);
         reply.prepare_payload();
         const socket_deadline deadline(socket, http_service::idle_timeout);
-        co_await http::async_write(socket, reply, with_error(ec));
-        if (ec || !keep_alive_requested) {
+        const net_error ec = co_await write_counted(socket, reply, *place);
+        if (ec || !reply.keep_alive()) {
             co_return;
         }
+        place->end_request();
+        if (buffer.size() == 0) {
+            buffer.shrink_to_fit();
+        }
     }
 }
 
-task<void> accept_connections(tcp::acceptor acceptor, std::shared_ptr<http_service::handler> serve) {
+task<void> accept_connections(tcp::acceptor acceptor, std::shared_ptr<service_state> state) {
     for (;;) {
         net_error ec;
-        tcp::socket socket = co_await acceptor.async_accept(with_error(ec));
+        tcp::socket accepted = co_await acceptor.async_accept(with_error(ec));
         if (ec) {
             co_await sleep_for(accept_retry_delay);
             continue;
         }
-        asio::co_spawn(acceptor.get_executor(), serve_connection(std::move(socket), serve), asio::detached);
+        auto socket = std::make_shared<tcp::socket>(std::move(accepted));
+        const auto close = [socket](place_state) {
+            net_error ignored;
+            socket->close(ignored);
+        };
+        auto place = state->intake->open(state->kind, close);
+        if (place != nullptr) {
+            asio::co_spawn(acceptor.get_executor(),
+                           serve_connection(std::move(socket), state, std::move(place)), asio::detached);
+        }
     }
 }
 
 } // namespace
 
-result<done> http_service::start(asio::io_context& context, const std::string& address, handler serve) {
+result<done> http_service::start(asio::io_context& context, const std::string& address, handler serve,
+                                 intake_guard* intake, place_kind kind) {
     result<tcp::acceptor> acceptor = listen_on(context, address);
     if (!acceptor) {
         return acceptor.error();
     }
-    auto shared_handler = std::make_shared<handler>(std::move(serve));
-    asio::co_spawn(context, accept_connections(std::move(acceptor.value()), std::move(shared_handler)),
+    auto state = std::make_shared<service_state>();
+    state->serve = std::move(serve);
+    if (intake == nullptr) {
+        const auto own = std::make_shared<own_intake>();
+        state->intake = std::shared_ptr<intake_guard>(own, &own->guard);
+        state->kind = place_kind::caller;
+    } else {
+        // The process owns its guard for as long as the context runs.
+        state->intake = std::shared_ptr<intake_guard>(std::shared_ptr<void>(), intake);
+        state->kind = kind;
+    }
+    asio::co_spawn(context, accept_connections(std::move(acceptor.value()), std::move(state)),
                    asio::detached);
     return done{};
 }
--- a/src/net/http_service.h
+++ b/src/net/http_service.h
@@ -3,6 +3,7 @@
 /// Provides a small HTTP server for readiness checks, metrics and control calls.
 
 #include "eelgrassgw/base/failure.h"
+#include "intake/intake_guard.h"
 #include "net/task.h"
 
 #include <functional>
@@ -21,8 +22,10 @@
     static constexpr std::chrono::seconds idle_timeout{60}; ///< Longest wait for a request or for a write.
     static constexpr std::size_t max_request_bytes = 4U << 20U; ///< Largest size of a request's body.
 
-    /// Starts to listen on `address` (IP:port) and calls the handler once for each request.
-    static result<done> start(asio::io_context& context, const std::string& address, handler serve);
+    /// Starts to listen on `address` (IP:port) and calls the handler once for each request. `intake` counts
+    /// the connections as those of `kind` and outlives the I/O context; if it is null, they are not counted.
+    static result<done> start(asio::io_context& context, const std::string& address, handler serve,
+                              intake_guard* intake = nullptr, place_kind kind = place_kind::control);
 };
 
 /// Opens a listening socket on `address` (IP:port).
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -28,9 +28,10 @@
     static constexpr std::chrono::milliseconds max_reply_timeout{35000};
     static constexpr int max_calls_in_progress = 256;
 
-    /// Constructs a relay that passes requests to the budget ledger to `serve_ledger`.
+    /// Constructs a relay that passes requests to the budget ledger to `serve_ledger`. `intake` counts its
+    /// connections and outlives it; if it is null, they are not counted.
     relay(asio::io_context& context, relay_settings settings, event_log& log, metrics_registry& metrics,
-          http_service::handler serve_ledger);
+          http_service::handler serve_ledger, intake_guard* intake = nullptr);
 
     /// Starts to listen and to announce this relay to its peers periodically.
     result<done> start();
@@ -45,6 +46,7 @@
     event_log& log_;
     metrics_registry& metrics_;
     http_service::handler serve_ledger_;
+    intake_guard* intake_;
     connection_pool pool_;
     int calls_in_progress_ = 0;
     bool store_unreachable_ = false;
--- a/test/intake/intake_fixture.h
+++ b/test/intake/intake_fixture.h
@@ -44,7 +44,11 @@
     }
     void TearDown() override {
         program.reset();
-        std::filesystem::remove_all(folder);
+        if (HasFailure()) {
+            std::cout << "the log is kept in " << folder << "\n";
+        } else {
+            std::filesystem::remove_all(folder);
+        }
     }
 
     /// Writes a configuration with this limit of a body, and the usual times of callers.
