Control work runs before callers' work, and own delay is no timeout of a control call

Cause: all tasks shared one queue, so the followers and their store calls waited behind callers' handlers. A router at capacity applied a configuration 3.6 s after its acknowledgement and logged "store_path_lost" for a store that was up, because its own delay used up the calls' timeouts.

Change: callers' tasks use an executor whose handlers run in batches of 2 ms; the I/O context polls and runs control handlers between two batches. The timeouts of control calls and connects pass in four steps, a late step counts as one in time, and input that waits in the socket is read at the end.

A call with a timeout of 200 ms survives a loop that stands still for 600 ms.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -213,7 +213,7 @@
     auto control = std::make_shared<exchange_control>(caller_);
     current_control_ = control;
     auto watch_done = std::make_shared<asio::steady_timer>(core_.context, clock::time_point::max());
-    asio::co_spawn(core_.context, watch_caller(control, watch_done), asio::detached);
+    asio::co_spawn(core_.callers, watch_caller(control, watch_done), asio::detached);
     exchange<Core> current(core_, request, caller_, control, started);
     const bool keep_alive = co_await current.serve();
     net_error ec;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -106,8 +106,11 @@
         };
     }
     /// Starts a task. An unexpected exception ends only that task and is logged.
-    void spawn(task<void> job) {
-        asio::co_spawn(context_, std::move(job), [this](const std::exception_ptr& error) {
+    void spawn(task<void> job) { spawn_on(context_.get_executor(), std::move(job)); }
+    /// Starts a task of callers, which runs after the control work.
+    void spawn_for_callers(task<void> job) { spawn_on(core_.callers, std::move(job)); }
+    void spawn_on(const asio::any_io_executor& executor, task<void> job) {
+        asio::co_spawn(executor, std::move(job), [this](const std::exception_ptr& error) {
             if (error) {
                 log_failed_task(error);
             }
@@ -117,6 +120,8 @@
 
     result<done> start_services();
     task<void> accept_callers();
+    /// Keeps a session until it has ended, also before its task has begun.
+    static task<void> run_session(std::shared_ptr<caller_session<core>> session) { co_await session->run(); }
     task<void> flush_log();
     task<void> run_maintenance();
     task<void> ask_peers_for_relays();
@@ -178,7 +183,7 @@
         return acceptor.error();
     }
     acceptor_.emplace(std::move(acceptor.value()));
-    spawn(accept_callers());
+    spawn_for_callers(accept_callers());
     spawn(object_follower<typename Platform::objects>::follow(objects_, Platform::configuration_kind,
                                                               configuration_callbacks()));
     spawn(object_follower<typename Platform::objects>::follow(objects_, Platform::backend_server_kind,
@@ -235,7 +240,7 @@
 task<void> gateway<Platform>::accept_callers() {
     for (;;) {
         net_error ec;
-        tcp::socket caller = co_await acceptor_->async_accept(with_error(ec));
+        tcp::socket caller = co_await acceptor_->async_accept(core_.callers, with_error(ec));
         if (ec == asio::error::operation_aborted || !acceptor_->is_open()) {
             co_return;
         }
@@ -247,7 +252,7 @@
         }
         auto session = std::make_shared<caller_session<core>>(core_, std::move(caller));
         sessions_.push_back(session);
-        spawn(session->run());
+        spawn_for_callers(run_session(std::move(session)));
     }
 }
 
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -10,6 +10,7 @@
 #include "gateway/unrepeatable_requests.h"
 #include "limits/limit_notices.h"
 #include "net/connection_pool.h"
+#include "overload/deferred_queue.h"
 #include "placing/prompt_notices.h"
 #include "quarantine/crash_detector.h"
 #include "quarantine/part_quarantine.h"
@@ -49,8 +50,8 @@
     gateway_core(asio::io_context& io, Budgets& keeper, event_log& events, metrics_registry& registry,
                  const retry_limits& limits, const std::string& incarnation,
                  const std::string& notice_address)
-        : context(io), budgets(keeper), log(events), metrics(registry), pool(io), retries(limits),
-          notices(io), long_prompts(notices, directory, incarnation),
+        : context(io), callers(deferred_executor(io)), budgets(keeper), log(events), metrics(registry),
+          pool(callers), retries(limits), notices(io), long_prompts(notices, directory, incarnation),
           server_limits(notices, directory, notice_address),
           quarantine([this](const auto& parts, const evidence_by_part& evidence, bool is_quarantined) {
               log_quarantine(parts, evidence, is_quarantined);
@@ -74,7 +75,8 @@
         log.write_failure(event, std::move(fields));
     }
 
-    asio::io_context& context;
+    asio::io_context& context;     ///< Runs control work at once.
+    asio::any_io_executor callers; ///< Runs callers' work after the control work.
     Budgets& budgets;
     event_log& log;
     metrics_registry& metrics;
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -1,7 +1,7 @@
 #include "net/connection_pool.h"
 
 #include "net/address.h"
-#include "net/socket_deadline.h"
+#include "net/peer_deadline.h"
 
 #include <netinet/tcp.h>
 
@@ -112,13 +112,13 @@
     if (!endpoint) {
         co_return endpoint.error();
     }
-    auto created = std::make_unique<connection>(tcp::socket(context_));
+    auto created = std::make_unique<connection>(tcp::socket(executor_));
     created->peer = address;
     net_error ec;
     created->socket.open(endpoint.value().protocol(), ec);
     if (!ec) {
         set_connection_options(created->socket, unacknowledged_timeout);
-        const socket_deadline deadline(created->socket, connect_timeout);
+        const peer_deadline deadline(created->socket, connect_timeout, peer_deadline::awaited::connection);
         co_await created->socket.async_connect(endpoint.value(), with_error(ec));
         if (deadline.passed()) {
             ec = asio::error::timed_out;
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -5,6 +5,7 @@
 #include "eelgrassgw/base/failure.h"
 #include "net/task.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <algorithm>
@@ -56,7 +57,10 @@
     /// Time for which an idle connection is kept if the server does not announce a timeout.
     static constexpr std::chrono::milliseconds default_reuse_time{4000};
 
-    explicit connection_pool(asio::io_context& context) : context_(context) {}
+    explicit connection_pool(asio::io_context& context) : executor_(context.get_executor()) {}
+
+    /// Opens connections whose timeouts pass on `executor`. Tasks that use the pool run on the same one.
+    explicit connection_pool(asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
     /// Returns an idle or a new connection to `address` (IP:port). A failure means that no request was sent.
     task<result<std::unique_ptr<connection>>> open(std::string address,
@@ -83,7 +87,7 @@
     task<result<std::unique_ptr<connection>>> connect(std::string address,
                                                       std::chrono::milliseconds connect_timeout);
 
-    asio::io_context& context_;
+    asio::any_io_executor executor_;
     std::map<std::string, std::vector<std::unique_ptr<connection>>> idle_;
     std::size_t opened_ = 0;
 };
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -1,6 +1,6 @@
 #include "net/http_call.h"
 
-#include "net/socket_deadline.h"
+#include "net/peer_deadline.h"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -29,7 +29,8 @@
     net_error ec;
     bool timed_out = false;
     {
-        const socket_deadline deadline(server_connection->socket, timeouts.reply);
+        const peer_deadline deadline(server_connection->socket, timeouts.reply,
+                                     peer_deadline::awaited::reply);
         co_await http::async_write(server_connection->socket, request, with_error(ec));
         if (!ec) {
             co_await http::async_read(server_connection->socket, server_connection->buffer, parser,
