Load: each router measures the speed of backend servers

The placement counts requests only, so a server at 0.7 of the usual speed gets as much as one at 1.7.

Nothing uses the figures yet.

--- a/src/backends/backend_directory.cpp
+++ b/src/backends/backend_directory.cpp
@@ -53,6 +53,8 @@
         tracked->doubted_until = {};
         tracked->leaving = false;
         tracked->limit = {};
+        tracked->speed = {};
+        tracked->read_parts = {};
     }
     tracked->server = listed.server;
     tracked->position = listed.position;
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -4,6 +4,8 @@
 
 #include "backends/backend_server.h"
 #include "limits/request_limit.h"
+#include "load/read_parts.h"
+#include "load/server_speed.h"
 #include "store/store_objects.h"
 
 #include <algorithm>
@@ -42,6 +44,12 @@
     /// Limit that the server has named on the requests of all routers together.
     request_limit limit;
 
+    /// Largest number of tokens that those requests can hold in the server's memory.
+    std::int64_t held_tokens = 0;
+
+    server_speed speed;                ///< Speed as this process has measured it.
+    eelgrassgw::read_parts read_parts; ///< Shared prompt parts that the server has read.
+
     /// Time of the last byte from the server, or of the first request if it was idle before.
     clock::time_point last_heard_at{};
 
--- a/src/placing/prompt_notices.cpp
+++ b/src/placing/prompt_notices.cpp
@@ -53,14 +53,43 @@
 }
 
 unread_prompt::unread_prompt(prompt_notices& notices, std::shared_ptr<tracked_backend> server,
-                             std::int64_t tokens)
-    : notices_(notices), server_(std::move(server)), tokens_(tokens) {
+                             std::int64_t tokens, std::string shared_part, std::int64_t held_tokens,
+                             clock::time_point sent_at)
+    : notices_(notices), server_(std::move(server)), tokens_(tokens), shared_part_(std::move(shared_part)),
+      held_tokens_(held_tokens), sent_at_(sent_at),
+      tokens_before_event_(server_->known_unread_tokens(sent_at) + tokens),
+      is_measurable_(shared_part_.empty() || server_->read_parts.contains(shared_part_, sent_at)) {
     server_->unread_tokens += tokens_;
+    server_->held_tokens += held_tokens_;
     if (tokens_ >= prompt_notices::min_announced_tokens) {
         notice_number_ = notices_.announce(server_->server.id, tokens_);
     }
 }
 
+unread_prompt::~unread_prompt() {
+    mark_read();
+    server_->held_tokens -= held_tokens_;
+}
+
+void unread_prompt::note_event(clock::time_point now) {
+    if (last_event_at_) {
+        server_->speed.note_event_gap(now - *last_event_at_, now);
+    } else {
+        if (is_measurable_) {
+            server_->speed.note_first_event(tokens_before_event_, now - sent_at_, now);
+        }
+        server_->read_parts.note(shared_part_, now);
+        mark_read();
+    }
+    last_event_at_ = now;
+}
+
+void unread_prompt::note_answer(clock::time_point now) {
+    if (!last_event_at_ && tokens_before_event_ == 0) {
+        server_->speed.note_answer(now - sent_at_, now);
+    }
+}
+
 void unread_prompt::mark_read() {
     server_->unread_tokens -= std::exchange(tokens_, 0);
     if (notice_number_) {
--- a/src/placing/prompt_notices.h
+++ b/src/placing/prompt_notices.h
@@ -51,22 +51,41 @@
 };
 
 /// Counts a prompt as unread at its server, and announces it to the other routers if it is long, until
-/// `mark_read` is called or this object is destroyed.
+/// `mark_read` is called or this object is destroyed. Measures the server's speed from the events of the
+/// answer.
 class unread_prompt {
 public:
+    using clock = tracked_backend::clock;
+
+    /// `shared_part` is the last part of the prompt that other requests share; it may be empty. `held_tokens`
+    /// is the largest number of tokens that the request can hold in the server's memory.
     /// Precondition: `notices` outlives this object.
-    unread_prompt(prompt_notices& notices, std::shared_ptr<tracked_backend> server, std::int64_t tokens);
-    ~unread_prompt() { mark_read(); }
+    unread_prompt(prompt_notices& notices, std::shared_ptr<tracked_backend> server, std::int64_t tokens,
+                  std::string shared_part = {}, std::int64_t held_tokens = 0,
+                  clock::time_point sent_at = clock::now());
+    ~unread_prompt();
     unread_prompt(const unread_prompt&) = delete;
     unread_prompt& operator=(const unread_prompt&) = delete;
 
     /// Records that the server has read the prompt, which its first event shows.
     void mark_read();
 
+    /// Notes that an event of the answer has arrived.
+    void note_event(clock::time_point now);
+
+    /// Notes that the whole answer of a request without a prompt has arrived.
+    void note_answer(clock::time_point now);
+
 private:
     prompt_notices& notices_;
     std::shared_ptr<tracked_backend> server_;
     std::int64_t tokens_;
+    std::string shared_part_;
+    std::int64_t held_tokens_;
+    clock::time_point sent_at_;
+    std::int64_t tokens_before_event_; ///< Tokens that the server had to read before the first event.
+    bool is_measurable_; ///< Whether that number is exact: not if the server may have read the shared part.
+    std::optional<clock::time_point> last_event_at_;
     std::optional<std::uint64_t> notice_number_; ///< Number of the notice; empty if none is in force.
 };
 
