Admission: requests wait for room at the servers in an order by what callers lose

Beside bursts of long prompts of low priority, short chats were served in order of arrival and came late.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,8 @@
 /// Serves one request: checks it, reserves its budget, chooses a backend server, sends it there and forwards
 /// the answer.
 
+#include "admission/admission_control.h"
+#include "admission/room_hold.h"
 #include "budgets/budget_keeper.h"
 #include "eelgrassgw/base/hash.h"
 #include "eelgrassgw/base/not_run_status.h"
@@ -125,7 +127,13 @@
     refusal withhold_unproved_promise(refusal rejection) const;
     task<void> refuse(refusal rejection);
     bool is_next_attempt_allowed(attempt_outcome last);
-    std::shared_ptr<tracked_backend> choose_server();
+    placement_outcome choose_server();
+    bool is_subject_to_order() const;
+    admission_request describe_for_order() const;
+    place_attempt try_place(std::shared_ptr<tracked_backend>& server);
+    task<std::shared_ptr<tracked_backend>> take_server();
+    bool is_still_configured() const;
+    void log_order(Json::Value& fields) const;
     void note_answer_progress();
     void note_whole_answer();
     void note_broken_answer(const tracked_backend& server);
@@ -177,7 +185,11 @@
     attempt_progress progress_; ///< Progress of the current attempt.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
     std::optional<unread_prompt>
-        unread_prompt_; ///< Prompt of the current attempt, until the server has read it.
+        unread_prompt_;                    ///< Prompt of the current attempt, until the server has read it.
+    std::optional<room_hold> room_hold_;   ///< Room at the chosen server, until the send begins.
+    std::optional<refusal> order_refusal_; ///< Set if the order of the waiting requests excludes this one.
+    const char* order_verdict_ = nullptr;  ///< What that order decided, for the log; null if not asked.
+    milliseconds queued_for_{0};           ///< Time in the queue, for the log.
     event_splitter splitter_;
     milliseconds budget_known_after_{0};            ///< Time until the budget answered, for the log.
     std::optional<milliseconds> first_event_after_; ///< Time until the first event, for the log.
@@ -232,7 +244,13 @@
         if (is_kept_back()) { // The part may have got into quarantine during an earlier attempt.
             co_return co_await send_final_answer(attempt_outcome::not_sent);
         }
-        const std::shared_ptr<tracked_backend> server = choose_server();
+        const std::shared_ptr<tracked_backend> server = co_await take_server();
+        if (order_refusal_) {
+            co_return co_await refuse(std::move(*order_refusal_));
+        }
+        if (server == nullptr && control_.cancelled()) {
+            co_return co_await send_final_answer(attempt_outcome::cancelled);
+        }
         if (server == nullptr) {
             co_return co_await send_final_answer(sends_.send_count() > 0 ? attempt_outcome::not_run
                                                                          : attempt_outcome::not_sent);
@@ -241,8 +259,9 @@
         attempt_fields_ = Json::objectValue;
         attempt_fields_["server"] = server->server.id;
         const int sent_before = sends_.send_count();
-        core_.server_limits.note_request(*server); // No other request may take its place meanwhile.
         const attempt_outcome outcome = co_await send_to(server);
+        room_hold_.reset();
+        core_.admission->room_appeared(); // The end of a request makes room.
         if (sends_.send_count() == sent_before) {
             server->limit.give_back(clock::now());
         }
@@ -278,13 +297,17 @@
 }
 
 template <class Core>
-std::shared_ptr<tracked_backend> exchange<Core>::choose_server() {
+placement_outcome exchange<Core>::choose_server() {
     placement_request placement;
     placement.excluded = tried_server_ids_;
     placement.random = random_below(1U << 30U);
     if (terms_.prompt) {
         placement.shared_prompt_part = terms_.prompt->last_shared_part();
         placement.shared_tokens = terms_.prompt->shared_tokens;
+        placement.unread_tokens = terms_.prompt->unshared_tokens();
+    }
+    if (is_subject_to_order()) {
+        placement.max_unread_tokens = max_unread_tokens_within(route_->max_event_gap);
     }
     return choose_backend_server(core_.directory.ready_servers(service_), placement, clock::now());
 }
@@ -295,3 +318,4 @@
 #include "gateway/internal/exchange_attempt.h"
 #include "gateway/internal/exchange_end.h"
 #include "gateway/internal/exchange_forwarding.h"
+#include "gateway/internal/exchange_queueing.h"
--- a/src/gateway/exchange_control.h
+++ b/src/gateway/exchange_control.h
@@ -5,6 +5,9 @@
 #include "net/connection_pool.h"
 #include "net/task.h"
 
+#include <functional>
+#include <utility>
+
 namespace eelgrassgw {
 
 /// Cancellation state that the task serving a request shares with the tasks that watch its caller and its
@@ -25,6 +28,15 @@
     /// Releases the connection, so that a cancellation no longer resets it.
     void detach_upstream() { upstream_ = nullptr; }
 
+    /// Makes a cancellation of the exchange call `handler`, too; at once if it is cancelled already. A null
+    /// handler ends that.
+    void set_cancel_handler(std::function<void()> handler) {
+        cancel_handler_ = std::move(handler);
+        if (cancelled()) {
+            call_cancel_handler();
+        }
+    }
+
     /// Cancels the exchange if the caller has closed its connection and this process has not noticed yet, as
     /// when it is behind with its work.
     void check_caller() {
@@ -37,6 +49,7 @@
     void note_caller_left() {
         caller_left_ = true;
         reset_upstream();
+        call_cancel_handler();
     }
 
     /// Cancels the exchange because its deadline has passed. Does nothing after `finish`.
@@ -46,6 +59,7 @@
         }
         timed_out_ = true;
         reset_upstream();
+        call_cancel_handler();
         net_error ignored;
         caller_.cancel(ignored); // A caller that does not read must not block the exchange.
     }
@@ -61,6 +75,12 @@
     bool cancelled() const { return caller_left_ || timed_out_; }
 
 private:
+    void call_cancel_handler() {
+        if (cancel_handler_) {
+            cancel_handler_();
+        }
+    }
+
     /// Resets the connection. An orderly close would first deliver the bytes of the request that the kernel
     /// still holds, so that a paused server would receive an abandoned request once it continues.
     void reset_upstream() {
@@ -73,6 +93,7 @@
 
     tcp::socket& caller_;
     tcp::socket* upstream_ = nullptr;
+    std::function<void()> cancel_handler_; ///< Called on cancellation; may be empty.
     bool caller_left_ = false;
     bool timed_out_ = false;
     bool finished_ = false;
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -2,6 +2,7 @@
 
 /// State that all requests of one router share.
 
+#include "admission/admission_control.h"
 #include "backends/backend_directory.h"
 #include "base/event_log.h"
 #include "eelgrassgw/metrics/metrics.h"
@@ -56,7 +57,10 @@
               log_quarantine(parts, evidence, is_quarantined);
           }),
           crashes(io, pool, quarantine,
-                  [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }) {}
+                  [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }),
+          admission(std::make_shared<admission_control>(io, registry)) {
+        long_prompts.set_room_handler([this] { admission->room_appeared(); });
+    }
 
     /// Logs that prompt parts or a request got into quarantine or were released, with the servers that
     /// crashed under them.
@@ -87,6 +91,7 @@
     limit_notices server_limits;
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
+    std::shared_ptr<admission_control> admission; ///< Never null; waiting requests share it.
     unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -44,6 +44,7 @@
         co_return attempt_outcome::not_sent;
     }
     server->begin_request(clock::now());
+    room_hold_.reset(); // From here on, the unread prompt counts.
     unread_prompt_.emplace(core_.long_prompts, server, terms_.prompt ? terms_.prompt->unshared_tokens() : 0);
     control_.attach_upstream(upstream->socket);
     sends_.begin_send();
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -132,6 +132,7 @@
         fields["prepaid"] = Json::Int64(customer_->prepaid.value_or(0));
         fields["available"] = Json::Int64(budget.available);
     }
+    log_order(fields);
     count_outcome();
     if (outcome_ == "answered" || outcome_ == "caller_left") {
         core_.log.write("request", std::move(fields));
--- a/src/gateway/internal/exchange_forwarding.h
+++ b/src/gateway/internal/exchange_forwarding.h
@@ -42,6 +42,7 @@
         if (!complete_events.empty()) {
             first_event_after_ = first_event_after_.value_or(elapsed());
             unread_prompt_->mark_read();
+            core_.admission->room_appeared();
             note_answer_progress();
         }
         if (!co_await answer_.send_piece(std::move(complete_events))) {
--- a/src/gateway/internal/gateway_following.h
+++ b/src/gateway/internal/gateway_following.h
@@ -72,6 +72,7 @@
             }
         }
         core_.directory.replace_all(entries, after_outage, clock::now());
+        core_.admission->room_appeared();
         update_relays();
         Json::Value fields;
         fields["servers"] = Json::UInt64(entries.size());
@@ -95,6 +96,7 @@
     if (entry) {
         const bool draining = entry->server.draining;
         core_.directory.put(*entry);
+        core_.admission->room_appeared();
         fields["state"] = draining ? "draining" : "ready";
     } else {
         const bool lapsed = change.removed && after_outage;
--- a/src/gateway/retry_advice.cpp
+++ b/src/gateway/retry_advice.cpp
@@ -9,6 +9,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds shortest_wait{800};
+// A retry that comes sooner meets the same backlog at the servers.
+constexpr milliseconds shortest_backlog{50};
+
 constexpr milliseconds wait_at_start_of_outage{1500};
 
 /// A caller waits for this part of its remaining time at most.
@@ -21,4 +24,8 @@
     return std::max(shortest_wait, std::min(expected, time_left / time_left_divisor));
 }
 
+milliseconds retry_after_backlog(milliseconds backlog, milliseconds time_left) {
+    return std::max(shortest_backlog, std::min(backlog, time_left / time_left_divisor));
+}
+
 } // namespace eelgrassgw
--- a/src/gateway/retry_advice.h
+++ b/src/gateway/retry_advice.h
@@ -16,4 +16,10 @@
 std::chrono::milliseconds retry_after_store_outage(std::chrono::milliseconds outage,
                                                    std::chrono::milliseconds time_left);
 
+/// Returns the Retry-After time for a request that was refused because other requests will have the room at
+/// the backend servers for `backlog` longer, when the caller waits for `time_left` longer. A caller honours
+/// up to a third of its remaining time.
+std::chrono::milliseconds retry_after_backlog(std::chrono::milliseconds backlog,
+                                              std::chrono::milliseconds time_left);
+
 } // namespace eelgrassgw
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -22,6 +22,9 @@
 // Further unread tokens that a request accepts for each shared token that need not be read again.
 constexpr std::int64_t unread_tokens_per_shared_token = 4;
 
+// Prompt tokens that a server reads in a millisecond.
+constexpr std::int64_t read_tokens_per_ms = 60;
+
 bool is_excluded(const tracked_backend& server, const placement_request& request) {
     return std::find(request.excluded.begin(), request.excluded.end(), server.server.id) !=
            request.excluded.end();
@@ -46,6 +49,21 @@
     return usable.empty() ? candidates : usable;
 }
 
+/// Returns the candidates that are within the request's bound on unread tokens.
+// TODO(load): the bound of src/load/, which knows each server's speed, replaces this one.
+backend_list without_full(const backend_list& candidates, const placement_request& request,
+                          tracked_backend::clock::time_point now) {
+    if (request.max_unread_tokens == 0) {
+        return candidates;
+    }
+    backend_list with_room;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(with_room), [&](const auto& each) {
+        const std::int64_t unread = each->known_unread_tokens(now);
+        return unread == 0 || unread + request.unread_tokens <= request.max_unread_tokens;
+    });
+    return with_room;
+}
+
 std::shared_ptr<tracked_backend> least_loaded(const backend_list& candidates, std::uint64_t random) {
     const std::size_t start = random % candidates.size();
     std::shared_ptr<tracked_backend> best = candidates[start];
@@ -97,18 +115,24 @@
 
 } // namespace
 
-std::shared_ptr<tracked_backend> choose_backend_server(const backend_list& candidates,
-                                                       const placement_request& request,
-                                                       tracked_backend::clock::time_point now) {
+std::int64_t max_unread_tokens_within(std::chrono::milliseconds max_event_gap) {
+    return read_tokens_per_ms * max_event_gap.count() / 2;
+}
+
+placement_outcome choose_backend_server(const backend_list& candidates, const placement_request& request,
+                                        tracked_backend::clock::time_point now) {
     const backend_list remaining = without_excluded(candidates, request, now);
     if (remaining.empty()) {
-        return nullptr;
+        return {};
+    }
+    const backend_list usable = without_full(without_avoided(remaining, now), request, now);
+    if (usable.empty()) {
+        return {nullptr, true};
     }
-    const backend_list usable = without_avoided(remaining, now);
     if (request.shared_prompt_part.empty()) {
-        return least_loaded(usable, request.random);
+        return {least_loaded(usable, request.random), false};
     }
-    return first_within_bounds(usable, request, now);
+    return {first_within_bounds(usable, request, now), false};
 }
 
 } // namespace eelgrassgw
--- a/src/placing/prompt_notices.cpp
+++ b/src/placing/prompt_notices.cpp
@@ -46,6 +46,9 @@
     const std::string key = from + "#" + std::to_string(int_member(notice, "number"));
     if (tokens == 0) {
         tracked->announced_prompts.erase(key);
+        if (room_handler_) {
+            room_handler_();
+        }
     } else {
         tracked->announced_prompts[key] = {tokens, now + notice_lifetime};
     }
--- a/src/placing/prompt_notices.h
+++ b/src/placing/prompt_notices.h
@@ -7,8 +7,10 @@
 #include "net/notice_channel.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace eelgrassgw {
 
@@ -38,6 +40,9 @@
     /// Notifies the other routers that the announced prompt has been read or is no longer going to be read.
     void withdraw(const std::string& server, std::uint64_t number);
 
+    /// Has `handler` called after a notice has withdrawn a prompt, which makes room at its server.
+    void set_room_handler(std::function<void()> handler) { room_handler_ = std::move(handler); }
+
     /// Handles a received notice. Fails with a description of the fault if the notice is malformed.
     result<done> handle_notice(const Json::Value& notice, clock::time_point now);
 
@@ -47,7 +52,8 @@
     notice_channel& channel_;
     backend_directory& directory_;
     std::string router_;
-    std::uint64_t last_number_ = 0; ///< Number of the last notice that announced a prompt.
+    std::function<void()> room_handler_; ///< May be empty.
+    std::uint64_t last_number_ = 0;      ///< Number of the last notice that announced a prompt.
 };
 
 /// Counts a prompt as unread at its server, and announces it to the other routers if it is long, until
