--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -253,10 +253,11 @@
             continue;
         }
         auto session = std::make_shared<caller_session<core>>(core_, std::move(caller));
-        if (!session->take_place(core_.pool.idle_count())) {
+        // Other connections wait in the kernel meanwhile; closing this one would lose its request.
+        while (!session->take_place(core_.pool.idle_count())) {
             core_.pool.close_all_idle();
-            metrics_.count("connections_not_accepted");
-            continue;
+            metrics_.count("connections_delayed");
+            co_await sleep_for(accept_retry_delay);
         }
         sessions_.push_back(session);
         spawn(session->run());
--- a/src/intake/intake_ledger.cpp
+++ b/src/intake/intake_ledger.cpp
@@ -122,7 +122,8 @@
     if (kind == place_kind::control) {
         return controls_ < max_control_connections;
     }
-    return callers_ + other_connections < limits_.max_connections;
+    // The caller's request needs a connection to a server as well.
+    return callers_ + other_connections + 2 <= limits_.max_connections;
 }
 
 bool intake_ledger::fits(place_id id) const {
