Router measures its own load and refuses what it could not forward in time

Cause: a router at capacity accepted every request; thousands ran into their deadlines in its event loop and none was refused, so no caller retried at another router.

While processor time is short, a request whose wait in the event loop would exceed its objective is refused with 503 router_full before its budget is asked.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -86,7 +86,9 @@
                    log_sink()),
           core_(context, budgets_, log, metrics, settings_.retries, incarnation_, settings_.notice_listen),
           quarantine_sync_(objects_, Platform::quarantine_kind, Platform::quarantine_name, core_.quarantine,
-                           core_.notices, log_sink()) {}
+                           core_.notices, log_sink()) {
+        core_.load.set_limits(settings_.resources, settings_.event_delay_limit);
+    }
 
     /// Starts to listen and to follow the store. Fails if an address cannot be bound.
     result<done> start();
@@ -280,6 +282,8 @@
         core_.server_limits.ask_routers();
         core_.pool.close_stale();
         control_pool_.close_stale();
+        // A request in progress has a connection to a server beside that of its caller.
+        core_.load.measure(sessions_.size() + std::size_t(core_.running_requests));
         metrics_.set("requests_running", core_.running_requests);
         metrics_.set("backend_connections_opened", double(core_.pool.opened_count()));
         metrics_.set("prompt_parts_in_quarantine", double(core_.quarantine.quarantined_prompt_part_count()));
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -11,6 +11,7 @@
 #include "limits/limit_notices.h"
 #include "net/connection_pool.h"
 #include "overload/deferred_queue.h"
+#include "overload/load_monitor.h"
 #include "placing/prompt_notices.h"
 #include "quarantine/crash_detector.h"
 #include "quarantine/part_quarantine.h"
@@ -57,7 +58,9 @@
               log_quarantine(parts, evidence, is_quarantined);
           }),
           crashes(io, pool, quarantine,
-                  [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }) {}
+                  [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }),
+          load(io, registry,
+               [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }) {}
 
     /// Logs that prompt parts or a request got into quarantine or were released, with the servers that
     /// crashed under them.
@@ -89,6 +92,7 @@
     limit_notices server_limits;
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
+    load_monitor load;                  ///< Tells whether this process is short of its resources.
     unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
--- a/src/gateway/internal/exchange_admission.h
+++ b/src/gateway/internal/exchange_admission.h
@@ -44,6 +44,10 @@
         return refusal{
             refusal_reason::no_route, "no route for host \"" + host + "\" and path \"" + path + "\"", {}};
     }
+    if (core_.load.would_wait_too_long(route_->latency_objective)) {
+        return refusal{refusal_reason::router_full, "this router is too busy to answer in time",
+                       retry_after_overload};
+    }
     return check_request();
 }
 
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -28,6 +28,7 @@
     reason_entry{refusal_reason::budget_unknown, "budget_unknown", http::status::service_unavailable},
     reason_entry{refusal_reason::no_backend_server, "no_backend_server", http::status::service_unavailable},
     reason_entry{refusal_reason::overloaded, "overloaded", http::status::service_unavailable},
+    reason_entry{refusal_reason::router_full, "router_full", http::status::service_unavailable},
     reason_entry{refusal_reason::prompt_quarantined, "prompt_quarantined", http::status::service_unavailable},
     reason_entry{refusal_reason::request_quarantined, "request_quarantined",
                  http::status::service_unavailable},
--- a/src/gateway/refusal.h
+++ b/src/gateway/refusal.h
@@ -23,6 +23,7 @@
     budget_unknown,      ///< The budget could not be checked in time.
     no_backend_server,   ///< No backend server of the service can be reached.
     overloaded,          ///< The backend servers that could take the request are full.
+    router_full,         ///< This process could not forward the request in time.
     prompt_quarantined,  ///< A part of the prompt crashes the backend servers that answer it.
     request_quarantined, ///< The request itself crashes the backend servers that run it.
     draining,            ///< This process is stopping.
