--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -13,6 +13,7 @@
 #include "limits/limit_notices.h"
 #include "net/connection_pool.h"
 #include "overload/deferred_queue.h"
+#include "overload/load_monitor.h"
 #include "places/place_rules.h"
 #include "placing/prompt_notices.h"
 #include "quarantine/crash_detector.h"
@@ -61,7 +62,9 @@
           }),
           crashes(io, pool, quarantine,
                   [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }),
-          admission(std::make_shared<admission_control>(io, registry)) {
+          admission(std::make_shared<admission_control>(io, registry)),
+          load(io, registry,
+               [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }) {
         long_prompts.set_room_handler([this] { admission->room_appeared(); });
     }
 
@@ -98,6 +101,7 @@
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
     std::shared_ptr<admission_control> admission; ///< Never null; waiting requests share it.
+    load_monitor load; ///< Tells whether this process is short of its resources.
     unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
