Placing: requests go where they wait least; a bound on the prompts that wait at one server

Counting requests sent as much to slow servers as to fast ones, and nothing limited the prompts that wait at one server, so several long ones in a row delayed the events of all streams there.

On routes that state max_event_gap, a server takes prompts only as far as it reads them within that pause; long prompts are kept together while room is short. The outcome no_room says that all servers are beyond their bounds; until a queue takes such requests they are placed without the bound. Metric placements by reason.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -177,7 +177,8 @@
     attempt_progress progress_; ///< Progress of the current attempt.
     std::optional<text_reply> held_failure_; ///< A server's failure, forwarded if no other server answers.
     std::optional<unread_prompt>
-        unread_prompt_; ///< Prompt of the current attempt, until the server has read it.
+        unread_prompt_;               ///< Prompt of the current attempt, until the server has read it.
+    std::int64_t tokens_to_read_ = 0; ///< Prompt tokens that the chosen server has to read.
     event_splitter splitter_;
     milliseconds budget_known_after_{0};            ///< Time until the budget answered, for the log.
     std::optional<milliseconds> first_event_after_; ///< Time until the first event, for the log.
@@ -285,8 +286,27 @@
     if (terms_.prompt) {
         placement.shared_prompt_part = terms_.prompt->last_shared_part();
         placement.shared_tokens = terms_.prompt->shared_tokens;
+        placement.carries_prompt = true;
+        placement.unshared_tokens = terms_.prompt->unshared_tokens();
+        placement.held_tokens = terms_.prompt->max_tokens();
     }
-    return choose_backend_server(core_.directory.ready_servers(service_), placement, clock::now());
+    if (terms_.prompt && route_->max_event_gap > milliseconds(0)) {
+        const service_definition& service = configuration_->find_service(service_);
+        placement.bound = {configuration_->shortest_event_gap(service_), service.max_tokens_per_event,
+                           service.kv_capacity};
+    }
+    const auto candidates = core_.directory.ready_servers(service_);
+    placement_outcome placed = choose_backend_server(candidates, placement, clock::now());
+    if (placed.no_room) {
+        core_.metrics.count("placements", {{"reason", "no_room"}});
+        placement.bound = {}; // Without a queue, the request goes where it waits for the shortest time.
+        placed = choose_backend_server(candidates, placement, clock::now());
+    }
+    tokens_to_read_ = placed.tokens_to_read;
+    if (placed.server != nullptr) {
+        core_.metrics.count("placements", {{"reason", name_of(placed.reason)}});
+    }
+    return placed.server;
 }
 
 } // namespace eelgrassgw
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -44,7 +44,9 @@
         co_return attempt_outcome::not_sent;
     }
     server->begin_request(clock::now());
-    unread_prompt_.emplace(core_.long_prompts, server, terms_.prompt ? terms_.prompt->unshared_tokens() : 0);
+    unread_prompt_.emplace(core_.long_prompts, server, tokens_to_read_,
+                           terms_.prompt ? terms_.prompt->last_shared_part() : "",
+                           terms_.prompt ? terms_.prompt->max_tokens() : 0);
     control_.attach_upstream(upstream->socket);
     sends_.begin_send();
     progress_ = {};
--- a/src/gateway/internal/exchange_forwarding.h
+++ b/src/gateway/internal/exchange_forwarding.h
@@ -41,7 +41,7 @@
         }
         if (!complete_events.empty()) {
             first_event_after_ = first_event_after_.value_or(elapsed());
-            unread_prompt_->mark_read();
+            unread_prompt_->note_event(clock::now());
             note_answer_progress();
         }
         if (!co_await answer_.send_piece(std::move(complete_events))) {
@@ -122,6 +122,9 @@
             co_return attempt_outcome::cancelled;
         }
     }
+    if (kind == answer_kind::success) {
+        unread_prompt_->note_answer(clock::now());
+    }
     if (forwarding) {
         co_await answer_.finish();
         co_return attempt_outcome::answered;
--- a/src/routes/fleet_configuration.cpp
+++ b/src/routes/fleet_configuration.cpp
@@ -48,6 +48,11 @@
     return it == services_.end() ? default_service_ : it->second;
 }
 
+std::chrono::milliseconds fleet_configuration::shortest_event_gap(const std::string& service) const {
+    const auto it = event_gaps_.find(service);
+    return it == event_gaps_.end() ? std::chrono::milliseconds(0) : it->second;
+}
+
 fleet_configuration::builder::builder(std::uint64_t version)
     : built_(std::make_shared<fleet_configuration>()) {
     built_->version_ = version;
@@ -55,6 +60,12 @@
 
 fleet_configuration::builder& fleet_configuration::builder::add(route added) {
     added.host = normalized_host(added.host);
+    if (added.max_event_gap > std::chrono::milliseconds(0)) {
+        for (const weighted_service& each : added.services) {
+            const auto [it, is_new] = built_->event_gaps_.try_emplace(each.service, added.max_event_gap);
+            it->second = std::min(it->second, added.max_event_gap);
+        }
+    }
     built_->routes_[route_key(added.host, added.path_prefix)] = std::move(added);
     return *this;
 }
--- a/src/routes/fleet_configuration.h
+++ b/src/routes/fleet_configuration.h
@@ -72,6 +72,10 @@
     /// Returns the definition of a service, or the default definition if the configuration has none.
     const service_definition& find_service(const std::string& name) const;
 
+    /// Returns the shortest pause between two events that a route of the service allows; 0 if none states
+    /// one.
+    std::chrono::milliseconds shortest_event_gap(const std::string& service) const;
+
 private:
     std::uint64_t version_ = 0;
     caller_limits limits_;
@@ -79,6 +83,7 @@
     std::map<std::string, customer> customers_;
     std::unordered_map<std::string, std::string> customer_of_key_; ///< Customer names by API key.
     std::unordered_map<std::string, service_definition> services_;
+    std::unordered_map<std::string, std::chrono::milliseconds> event_gaps_; ///< Shortest ones by service.
     service_definition default_service_;
 };
 
--- a/test/gateway/route_table_test.cpp
+++ b/test/gateway/route_table_test.cpp
@@ -47,6 +47,18 @@
     EXPECT_EQ("none", name_of_route(two_routes()->find_route("b.example", "/x/")));
 }
 
+// Guards against a bound of waiting prompts that is too wide for one of the routes that share a service.
+TEST(fleet_configuration, shortest_pause_of_a_services_routes_counts) {
+    route slow = make_route("slow", "/slow/");
+    slow.max_event_gap = std::chrono::milliseconds(900);
+    route fast = make_route("fast", "/fast/");
+    fast.max_event_gap = std::chrono::milliseconds(300);
+    const auto configuration =
+        fleet_configuration::builder(1).add(fast).add(slow).add(make_route("none", "/none/")).build();
+    EXPECT_EQ(std::chrono::milliseconds(300), configuration->shortest_event_gap("s"));
+    EXPECT_EQ(std::chrono::milliseconds(0), configuration->shortest_event_gap("other"));
+}
+
 TEST(fleet_configuration, key_identifies_its_customer) {
     const auto configuration =
         fleet_configuration::builder(1).add(customer{"c", {"k1", "k2"}, {}, 5}).build();
