--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -205,6 +205,7 @@
     std::optional<refusal> order_refusal_; ///< Set if the order of the waiting requests excludes this one.
     const char* order_verdict_ = nullptr;  ///< What that order decided, for the log; null if not asked.
     milliseconds queued_for_{0};           ///< Time in the queue, for the log.
+    std::int64_t tokens_to_read_ = 0;      ///< Prompt tokens that the chosen server has to read.
     event_splitter splitter_;
     milliseconds budget_known_after_{0};            ///< Time until the budget answered, for the log.
     std::optional<milliseconds> first_event_after_; ///< Time until the first event, for the log.
@@ -334,10 +335,14 @@
     if (terms_.prompt) {
         placement.shared_prompt_part = terms_.prompt->last_shared_part();
         placement.shared_tokens = terms_.prompt->shared_tokens;
-        placement.unread_tokens = terms_.prompt->unshared_tokens();
+        placement.carries_prompt = true;
+        placement.unshared_tokens = terms_.prompt->unshared_tokens();
+        placement.held_tokens = terms_.prompt->max_tokens();
     }
-    if (is_subject_to_order()) {
-        placement.max_unread_tokens = max_unread_tokens_within(route_->max_event_gap);
+    if (terms_.prompt && is_subject_to_order()) {
+        const service_definition& service = configuration_->find_service(service_);
+        placement.bound = {configuration_->shortest_event_gap(service_), service.max_tokens_per_event,
+                           service.kv_capacity};
     }
     const auto now = clock::now();
     std::size_t kept_back = 0;
@@ -346,7 +351,12 @@
     if (kept_back > 0) {
         core_.metrics.count("requests_kept_from_cold_servers");
     }
-    return choose_backend_server(candidates, placement, now);
+    placement_outcome placed = choose_backend_server(candidates, placement, now);
+    tokens_to_read_ = placed.tokens_to_read;
+    if (placed.server != nullptr) {
+        core_.metrics.count("placements", {{"reason", name_of(placed.reason)}});
+    }
+    return placed;
 }
 
 } // namespace eelgrassgw
--- a/src/gateway/internal/exchange_forwarding.h
+++ b/src/gateway/internal/exchange_forwarding.h
@@ -45,7 +45,7 @@
         const bool has_events = !complete_events.empty();
         if (has_events) {
             first_event_after_ = first_event_after_.value_or(elapsed());
-            unread_prompt_->mark_read();
+            unread_prompt_->note_event(clock::now());
             note_prompt_consumed();
             core_.admission->room_appeared();
             note_answer_progress();
@@ -144,6 +144,9 @@
             co_return attempt_outcome::cancelled;
         }
     }
+    if (kind == answer_kind::success) {
+        unread_prompt_->note_answer(clock::now());
+    }
     if (forwarding) {
         co_await answer_.finish();
         co_return attempt_outcome::answered;
--- a/src/gateway/internal/exchange_queueing.h
+++ b/src/gateway/internal/exchange_queueing.h
@@ -32,7 +32,8 @@
     described.started = started_;
     described.objective = route_->latency_objective;
     described.deadline = deadline_ - min_attempt_time;
-    described.max_unread_tokens = max_unread_tokens_within(route_->max_event_gap);
+    described.max_unread_tokens =
+        admission_request::read_tokens_per_ms * configuration_->shortest_event_gap(service_).count();
     const std::size_t servers = core_.directory.ready_servers(service_).size();
     described.expected_rate = double(admission_request::read_tokens_per_ms) * double(servers);
     described.is_first_send = tried_server_ids_.empty();
@@ -58,7 +59,7 @@
     }
     server = std::move(found.server);
     take_room(*server);
-    room_hold_.emplace(server, terms_.prompt ? terms_.prompt->unshared_tokens() : 0);
+    room_hold_.emplace(server, tokens_to_read_);
     return place_attempt::placed;
 }
 
