--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -104,7 +104,8 @@
     const auto now = tracked_backend::clock::now();
     const std::uint64_t count_before = count_allocations();
     for (auto _ : state) {
-        benchmark::DoNotOptimize(choose_backend_server(servers, request, now));
+        const placement_outcome chosen = choose_backend_server(servers, request, now);
+        benchmark::DoNotOptimize(chosen.server.get());
     }
     report_allocations(state, count_before);
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -101,7 +101,7 @@
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
     std::shared_ptr<admission_control> admission; ///< Never null; waiting requests share it.
-    load_monitor load; ///< Tells whether this process is short of its resources.
+    load_monitor load;                            ///< Tells whether this process is short of its resources.
     unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
--- a/test/gateway/allowance_table_test.cpp
+++ b/test/gateway/allowance_table_test.cpp
@@ -187,8 +187,8 @@
     EXPECT_LT(play_end_of_budget(0), covered_requests - 1) << "the load does not need the rule";
 }
 
-// Guards against a report that calls tokens lost which callers have been sent an answer for, or that leaves out
-// what waits in the allowance.
+// Guards against a report that calls tokens lost which callers have been sent an answer for, or that leaves
+// out what waits in the allowance.
 TEST(held_tokens, crash_loses_the_allowance_and_what_running_requests_have_not_consumed) {
     allowance_table table{allowance_policy{}};
     table.add("a", 1000);
--- a/test/gateway/prompt_notices_test.cpp
+++ b/test/gateway/prompt_notices_test.cpp
@@ -139,7 +139,8 @@
             request.shared_tokens = is_long ? 5000 : 500;
             const std::size_t router = random() % routers;
             set_loads(views, router, at, with_notices);
-            const auto chosen = choose_backend_server(views[router].ready_servers("models"), request, {}).server;
+            const auto chosen =
+                choose_backend_server(views[router].ready_servers("models"), request, {}).server;
             const double read_at = read_prompt(chosen->server.id, router, at, tokens);
             short_requests += is_long ? 0 : 1;
             late_requests += !is_long && read_at - at > 400 ? 1 : 0;
