Placement by the expected wait and the order under scarcity act only where the settings ask for them

Change: the setting place_by_wait, false by default; without it the choice is that of before, and nothing is queued.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -339,6 +339,7 @@
         placement.unshared_tokens = terms_.prompt->unshared_tokens();
         placement.held_tokens = terms_.prompt->max_tokens();
     }
+    placement.by_wait = core_.place_by_wait;
     if (terms_.prompt && is_subject_to_order()) {
         const service_definition& service = configuration_->find_service(service_);
         placement.bound = {configuration_->shortest_event_gap(service_), service.max_tokens_per_event,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,6 +94,7 @@
           quarantine_sync_(objects_, Platform::quarantine_kind, Platform::quarantine_name, core_.quarantine,
                            core_.notices, log_sink()) {
         core_.intake = &intake_;
+        core_.place_by_wait = settings_.place_by_wait;
         core_.load.set_limits(settings_.resources, settings_.event_delay_limit);
     }
 
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -104,6 +104,7 @@
     load_monitor load;                            ///< Tells whether this process is short of its resources.
     unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
+    bool place_by_wait = false;        ///< Whether the expected wait decides which server gets a request.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
     bool refusing_requests = false;    ///< True late in a graceful stop, when new requests are refused.
     bool closing_connections = false;  ///< True when connections are to close after their next answer.
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -33,6 +33,10 @@
     vm_resources resources;
     place_settings places;
 
+    /// Whether requests go where they are expected to wait least, and wait in this router while every server
+    /// is beyond its bound. Otherwise they go by the number of this router's requests.
+    bool place_by_wait = false;
+
     /// Longest time that an event of a stream may spend in this router; 0 if not stated.
     std::chrono::milliseconds event_delay_limit{0};
 };
--- a/src/gateway/internal/exchange_queueing.h
+++ b/src/gateway/internal/exchange_queueing.h
@@ -11,7 +11,7 @@
 /// not wait either.
 template <class Core>
 bool exchange<Core>::is_subject_to_order() const {
-    return route_->max_event_gap > milliseconds(0) && !sends_.may_have_run();
+    return core_.place_by_wait && route_->max_event_gap > milliseconds(0) && !sends_.may_have_run();
 }
 
 /// Returns what the order of the waiting requests depends on.
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -279,6 +279,75 @@
             chosen->tokens_to_read};
 }
 
+// Unread prompt tokens that any request accepts before its own prompt is read, when servers are chosen by
+// count.
+constexpr std::int64_t by_count_base_tokens = 6000;
+
+// Further unread tokens that a request accepts for each shared token that need not be read again.
+constexpr std::int64_t by_count_tokens_per_shared_token = 4;
+
+std::shared_ptr<tracked_backend> fewest_requests(const backend_list& candidates, std::uint64_t random) {
+    const std::size_t start = random % candidates.size();
+    std::shared_ptr<tracked_backend> best = candidates[start];
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        const auto& each = candidates[(start + i) % candidates.size()];
+        if (each->running_requests < best->running_requests) {
+            best = each;
+        }
+    }
+    return best;
+}
+
+double max_running_requests(const backend_list& candidates) {
+    double total = 0;
+    for (const auto& each : candidates) {
+        total += each->running_requests;
+    }
+    return std::max(always_allowed_requests,
+                    max_load_over_mean * total / static_cast<double>(candidates.size()));
+}
+
+/// Returns the first candidate in rendezvous order that is within both bounds, or the one with the fewest
+/// unread tokens if there is none.
+std::shared_ptr<tracked_backend> first_within_bounds(const backend_list& candidates,
+                                                     const placement_request& request, time_point now) {
+    const double max_running = max_running_requests(candidates);
+    const std::int64_t max_unread_tokens =
+        by_count_base_tokens + by_count_tokens_per_shared_token * request.shared_tokens;
+    std::shared_ptr<tracked_backend> best;
+    std::uint64_t best_rank = 0;
+    std::shared_ptr<tracked_backend> least_unread_server;
+    std::int64_t min_unread_tokens = 0;
+    for (const auto& each : candidates) {
+        const std::int64_t unread_tokens = each->known_unread_tokens(now);
+        if (least_unread_server == nullptr || unread_tokens < min_unread_tokens) {
+            least_unread_server = each;
+            min_unread_tokens = unread_tokens;
+        }
+        const std::uint64_t rank = stable_hash(request.shared_prompt_part + "\n" + each->server.id);
+        const bool fits = each->running_requests <= max_running && unread_tokens <= max_unread_tokens;
+        if (fits && (best == nullptr || rank > best_rank)) {
+            best = each;
+            best_rank = rank;
+        }
+    }
+    return best == nullptr ? least_unread_server : best;
+}
+
+/// Chooses by the requests of this process and the unread prompt tokens, whatever the speed of the servers.
+placement_outcome choose_by_count(const backend_list& usable, const placement_request& request,
+                                  time_point now) {
+    placement_outcome chosen;
+    chosen.tokens_to_read = request.unshared_tokens;
+    if (request.shared_prompt_part.empty()) {
+        chosen.server = fewest_requests(usable, request.random);
+        return chosen;
+    }
+    chosen.server = first_within_bounds(usable, request, now);
+    chosen.reason = placement_reason::affinity;
+    return chosen;
+}
+
 } // namespace
 
 const char* name_of(placement_reason reason) {
@@ -293,6 +362,9 @@
         return {};
     }
     const backend_list usable = without_avoided(remaining, now);
+    if (!request.by_wait) {
+        return choose_by_count(usable, request, now);
+    }
     if (request.shared_prompt_part.empty() && !request.carries_prompt) {
         return least_loaded(usable, request.random, now);
     }
--- a/src/placing/placement.h
+++ b/src/placing/placement.h
@@ -35,6 +35,9 @@
     std::int64_t unshared_tokens = 0; ///< Tokens of the prompt that every server must read.
     std::int64_t held_tokens = 0;     ///< Largest number of tokens that the request can hold in memory.
     placement_bound bound;            ///< Bound that the servers are kept to; by default none.
+
+    /// Whether the expected wait decides; otherwise the requests of this process and the unread tokens.
+    bool by_wait = true;
 };
 
 /// Why a server was chosen.
--- a/test/gateway/admission_test.cpp
+++ b/test/gateway/admission_test.cpp
@@ -17,7 +17,10 @@
         bool ended = false;
     };
 
-    void SetUp() override { configure_admission(); }
+    void SetUp() override {
+        settings.place_by_wait = true;
+        configure_admission();
+    }
 
     /// Writes a configuration in which `/chat/` is more urgent than `/long/`, and `/free/` states no pause.
     void configure_admission(std::uint64_t version = 1, tokens prepaid = 1000000) {
@@ -178,7 +181,7 @@
 
 /// Guards against a place, and a reservation of the budget, that outlive their caller.
 TEST_F(admission_test, caller_that_leaves_gives_up_its_place_and_its_reservation) {
-    configure_admission(2, 2 * 3060);
+    configure_admission(2, 6120);
     add_model_server("s1");
     run([&]() -> task<void> {
         start_call(prompt("/long/"));
