--- a/test/gateway/control_priority_test.cpp
+++ b/test/gateway/control_priority_test.cpp
@@ -99,7 +99,7 @@
     control_priority_test()
         : log_file("control_priority_test." + std::to_string(getpid()) + ".log"),
           file_log(open(log_file.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600), "router") {}
-    ~control_priority_test() override { std::filesystem::remove(log_file); }
+    void TearDown() override { std::filesystem::remove(log_file); }
 
     /// Keeps callers' work of 1 ms each in the queue of the event loop, for `backlog` at any time.
     void keep_callers_busy(std::chrono::milliseconds backlog) {
