--- a/test/intake/intake_fixture.h
+++ b/test/intake/intake_fixture.h
@@ -38,16 +38,16 @@
 
     void SetUp() override {
         settings.metrics_listen = next_loopback_address();
-        folder = std::filesystem::temp_directory_path() / ("eelgrass-intake-" + std::to_string(getpid()));
-        std::filesystem::create_directories(folder);
+        folder_ = std::filesystem::temp_directory_path() / ("eelgrass-intake-" + std::to_string(getpid()));
+        std::filesystem::create_directories(folder_);
         configure_limits(max_body_bytes);
     }
     void TearDown() override {
         program.reset();
         if (HasFailure()) {
-            std::cout << "the log is kept in " << folder << "\n";
+            std::cout << "the log is kept in " << folder_ << "\n";
         } else {
-            std::filesystem::remove_all(folder);
+            std::filesystem::remove_all(folder_);
         }
     }
 
@@ -91,18 +91,18 @@
         const auto first = callers.size();
         for (int i = 0; i < count; ++i) {
             callers.push_back(std::make_shared<tcp::socket>(context));
-            ++sending;
+            ++sending_;
             asio::co_spawn(context, send(callers.back(), address, script(i)), asio::detached);
         }
         const auto deadline = std::chrono::steady_clock::now() + limit;
-        while (sending > 0 && std::chrono::steady_clock::now() < deadline) {
+        while (sending_ > 0 && std::chrono::steady_clock::now() < deadline) {
             note_descriptors();
             co_await sleep_for(std::chrono::milliseconds(20));
         }
         // The program still has to read what the kernel keeps for it.
         co_await sleep_for(std::chrono::milliseconds(1000));
         note_descriptors();
-        std::cout << callers.size() - first << " callers, " << sending << " of them still sending\n";
+        std::cout << callers.size() - first << " callers, " << sending_ << " of them still sending\n";
     }
 
     /// Checks that the process lives within its stated memory and descriptors.
@@ -111,11 +111,11 @@
         note_descriptors();
         const std::size_t peak_kb = read_peak_memory_kb();
         std::cout << "peak memory " << peak_kb << " kB of " << max_memory_kb(memory_mb) << " kB, at most "
-                  << most_descriptors << " descriptors of " << stated_descriptors << "\n";
+                  << most_descriptors_ << " descriptors of " << stated_descriptors << "\n";
         EXPECT_GT(peak_kb, 0U);
         EXPECT_LT(peak_kb, max_memory_kb(memory_mb));
-        EXPECT_GT(most_descriptors, 0U);
-        EXPECT_LT(most_descriptors, stated_descriptors);
+        EXPECT_GT(most_descriptors_, 0U);
+        EXPECT_LT(most_descriptors_, stated_descriptors);
     }
 
     /// Sends an ordinary request while the crowd's connections are still open, and checks its answer.
@@ -136,9 +136,9 @@
         document["store"] = store.address();
         document["resources"]["memory_mb"] = Json::UInt64(memory_mb);
         document["resources"]["max_descriptors"] = Json::UInt64(stated_descriptors);
-        const std::string file = (folder / "settings.json").string();
+        const std::string file = (folder_ / "settings.json").string();
         std::ofstream(file) << to_text(document);
-        program = std::make_unique<started_program>(name, file, (folder / "log").string());
+        program = std::make_unique<started_program>(name, file, (folder_ / "log").string());
     }
 
     task<void> send(std::shared_ptr<tcp::socket> caller, std::string address, crowd_script script) {
@@ -151,7 +151,7 @@
         for (int i = 0; i < script.pieces && !ec; ++i) {
             co_await asio::async_write(*caller, asio::buffer(script.piece), with_error(ec));
         }
-        --sending;
+        --sending_;
     }
 
     std::size_t read_peak_memory_kb() const {
@@ -172,12 +172,12 @@
              !ec && it != end; it.increment(ec)) {
             ++count;
         }
-        most_descriptors = std::max(most_descriptors, count);
+        most_descriptors_ = std::max(most_descriptors_, count);
     }
 
-    std::filesystem::path folder;
-    int sending = 0;                  ///< Number of callers that have not sent their whole script.
-    std::size_t most_descriptors = 0; ///< Largest number of open descriptors that was seen.
+    std::filesystem::path folder_;
+    int sending_ = 0;                  ///< Number of callers that have not sent their whole script.
+    std::size_t most_descriptors_ = 0; ///< Largest number of open descriptors that was seen.
 };
 
 /// Returns `data` as `count` chunks of one body.
