--- a/review/kit2.py
+++ b/review/kit2.py
@@ -653,5 +653,8 @@
     except asyncio.TimeoutError:
         print("could not run: the case took too long")
         return 2
+    except Exception as error:  # An error of the script itself must not look like a broken rule.
+        print("could not run:", repr(error))
+        return 2
     print(("held: " if held else "BROKEN: ") + seen)
     return 0 if held else 1
