--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,8 @@
 TIMEOUT_S = 1.0       # The route's timeoutMs.
 DEADLINE_S = 2.5      # The clients' Deadline-Ms.
 CLIENTS = 20          # For each router.
-PAUSE_S = 0.007       # Between an answer and the next request at the usual pace.
+WORK_S = 0.03         # The site's booking-svc.
+PAUSE_S = 0.02        # Between an answer and the next request at the usual pace.
 CALM_S, BURST_S = 3, 3
 
 
@@ -82,6 +83,8 @@
               "priority": 2, "sticky": False, "resumable": False, "public": True}],
             [{"name": "booking", "healthPath": "/healthz", "maxConnections": 110}], [])
         await fleet.start(2, [("booking", False)] * 4)
+        for engine in fleet.engines:
+            engine.work_s = WORK_S
         await asyncio.sleep(4)  # The machines are in touch from contactMs (3 s) after their start.
         case = Case(fleet)
         for _ in range(2 * CLIENTS):
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -272,6 +272,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.first_token_s = 0.02
+        self.work_s = 0.01
         self.event_gap_s = 0.005
         self.lose_answer = None  # Returns whether the answer to the request that was just run is lost.
         self.active = 0
@@ -323,7 +324,7 @@
 
     async def run_plain(self, message, common, writer):
         self.fleet.note_run(self, message, 0)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self.work_s)
         body = b"done " + message.get("Attempt-Id").encode()
         writer.write(response(200, common + [("Response-Seal", "seal." + message.get("Attempt-Id"))], body))
         await writer.drain()
