Router: sessions that neither wait for a request nor serve one are logged

Change: the gauge caller_sessions{activity}, and the line caller_session_stalled with unread_bytes and reads_after_answer, the number of reads that the watch began after the answer.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -3,6 +3,7 @@
 /// Serves one caller's connection: reads requests one after the other and answers each of them.
 
 #include "gateway/exchange.h"
+#include "gateway/session_activity.h"
 #include "intake/body_reader.h"
 #include "net/socket_deadline.h"
 
@@ -45,6 +46,9 @@
     /// Largest number of bytes of later requests that are read while a request is served.
     static constexpr std::size_t max_read_ahead_bytes = 64U << 10U;
 
+    /// Time between two requests from which a session counts as stalled.
+    static constexpr std::chrono::milliseconds min_stall{1000};
+
     /// Time that a caller which is refused for want of room has to take the refusal.
     static constexpr std::chrono::milliseconds refusal_time{1000};
 
@@ -69,6 +73,25 @@
         }
     }
 
+    session_activity activity() const { return activity_; }
+
+    /// A session that has been between two requests for longer than that can last.
+    struct stall {
+        std::chrono::milliseconds duration{0};
+        std::size_t unread_bytes = 0; ///< Bytes that were read from the connection and not parsed.
+        int reads_after_answer = 0;   ///< Reads that were begun after the answer, which nothing ends.
+    };
+
+    /// Returns the stall of this session, once for each stall; nothing if there is none.
+    std::optional<stall> take_stall(clock::time_point now) {
+        const auto duration = std::chrono::floor<std::chrono::milliseconds>(now - activity_since_);
+        if (activity_ != session_activity::between_requests || duration < min_stall || is_stall_taken_) {
+            return std::nullopt;
+        }
+        is_stall_taken_ = true;
+        return stall{duration, buffer_.size(), reads_after_answer_};
+    }
+
     /// Gives the request in progress up, if there is one: its caller gets the final answer at once.
     void give_up_request() {
         if (const auto control = current_control_.lock()) {
@@ -106,6 +129,11 @@
         net_error ignored; // There is nothing to read from a closed socket.
         return caller_.available(ignored) > 0;
     }
+    void set_activity(session_activity activity) {
+        activity_ = activity;
+        activity_since_ = clock::now();
+        is_stall_taken_ = false;
+    }
     void lose_place(place_state state);
     task<bool> read_request(body_parser& parser, clock::time_point started);
     task<void> refuse_without_room(const text_request& request, clock::time_point started);
@@ -120,6 +148,10 @@
     boost::beast::flat_buffer buffer_;
     bool idle_ = false;
     std::weak_ptr<exchange_control> current_control_; ///< Control of the request in progress.
+    session_activity activity_ = session_activity::between_requests;
+    clock::time_point activity_since_ = clock::now();
+    bool is_stall_taken_ = false;
+    int reads_after_answer_ = 0;
 };
 
 template <class Core>
@@ -180,6 +212,7 @@
     }
     constexpr std::size_t first_read_bytes = 4096;
     idle_ = true;
+    set_activity(session_activity::idle);
     net_error ec;
     {
         const socket_deadline limit(caller_, current_limits().idle_timeout);
@@ -196,6 +229,7 @@
 template <class Core>
 task<bool> caller_session<Core>::read_request(body_parser& parser, clock::time_point started) {
     place_->begin_reading();
+    set_activity(session_activity::reading);
     const caller_limits request_limits = current_limits();
     buffer_.max_size(request_limits.max_header_bytes + max_read_ahead_bytes);
     parser.header_limit(static_cast<std::uint32_t>(request_limits.max_header_bytes));
@@ -264,10 +298,13 @@
 task<bool> caller_session<Core>::serve(const text_request& request, clock::time_point started) {
     auto control = std::make_shared<exchange_control>(caller_, *place_);
     current_control_ = control;
+    set_activity(session_activity::serving);
+    reads_after_answer_ = 0;
     auto watch_done = std::make_shared<asio::steady_timer>(core_.context, clock::time_point::max());
     asio::co_spawn(core_.callers, watch_caller(control, watch_done), asio::detached);
     exchange<Core> current(core_, request, caller_, control, started);
     const bool keep_alive = co_await current.serve();
+    set_activity(session_activity::between_requests);
     net_error ec;
     caller_.cancel(ec);
     if (watch_done->expiry() == clock::time_point::max()) {
@@ -285,6 +322,7 @@
     constexpr std::size_t read_bytes = 2048;
     net_error ec;
     while (!ec && buffer_.size() < max_read_ahead_bytes) {
+        reads_after_answer_ += activity_ == session_activity::between_requests ? 1 : 0;
         const std::size_t n = co_await caller_.async_read_some(buffer_.prepare(read_bytes), with_error(ec));
         buffer_.commit(n);
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <exception>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -135,6 +136,7 @@
     task<void> flush_log();
     task<void> run_maintenance();
     void report_held_tokens();
+    void report_sessions();
     task<void> ask_peers_for_relays();
     task<text_reply> answer_readiness(text_request request);
     task<text_reply> answer_peer(text_request request);
@@ -323,6 +325,7 @@
         metrics_.set("requests_in_quarantine", double(core_.quarantine.quarantined_request_count()));
         metrics_.set("backend_servers_with_limit", double(core_.server_limits.limited_server_count()));
         report_held_tokens();
+        report_sessions();
         metrics_.set("log_lines_dropped", double(log_.dropped_lines()));
         co_await sleep_for(maintenance_interval);
     }
@@ -350,6 +353,32 @@
     log_.write("tokens_held", std::move(fields));
 }
 
+/// Reports what the callers' sessions are doing, and logs those that neither wait for a request nor serve
+/// one.
+template <gateway_platform Platform>
+void gateway<Platform>::report_sessions() {
+    const auto now = clock::now();
+    std::map<session_activity, int> counts;
+    for (const auto& each : sessions_) {
+        const auto session = each.lock();
+        if (session == nullptr) {
+            continue;
+        }
+        ++counts[session->activity()];
+        if (const auto stall = session->take_stall(now)) {
+            Json::Value fields;
+            fields["duration_ms"] = Json::Int64(stall->duration.count());
+            fields["unread_bytes"] = Json::UInt64(stall->unread_bytes);
+            fields["reads_after_answer"] = stall->reads_after_answer;
+            metrics_.count("caller_sessions_stalled");
+            log_.write_failure("caller_session_stalled", std::move(fields));
+        }
+    }
+    for (const session_activity each : session_activities) {
+        metrics_.set("caller_sessions", counts[each], {{"activity", name_of(each)}});
+    }
+}
+
 /// Asks the peers for relays until both a configuration and a backend server are known, so that a router that
 /// cannot reach the store can read it through a relay.
 template <gateway_platform Platform>
