Router: one task reads a caller's connection from its begin to its end

Cause: while a request was served, watch_caller read ahead in a loop, and serve ended it with one cancel() after the answer. A read that had completed, and whose handler waited in the deferred queue, was not met; the loop began the next read, and serve waited for it. Each forgotten request lay whole in the buffer, behind exactly one read that the watch had begun after the answer; a lost wake-up, lost bytes and a waiting parser would have shown otherwise. Change: caller_connection owns the socket. Its task waits for readability and reads without a wait, as control work, so no read is in progress across a request and nobody has one to stop. Waits look at the state before they begin and after each wake-up; notification keeps a wake-up that meets no wait. Idle close, loss of a place, time-out and the end of a caller are conditions or closes that last, in place of cancellations of the moment; the gateway's own answers and 100 Continue have a bound of a second; an HTTP/1.0 answer that ends early ends with a reset; a caller that leaves behind 64 KB of requests is noticed. Whole answers are written at once where the socket takes them. request_reader parses heads and bodies for sessions and http_service alike.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -92,7 +92,7 @@
 
     /// `started` is the time when the request began to arrive.
     /// Precondition: all references outlive the exchange.
-    exchange(Core& core, const text_request& request, tcp::socket& caller,
+    exchange(Core& core, const text_request& request, caller_connection& caller,
              std::shared_ptr<exchange_control> control, clock::time_point started)
         : core_(core), request_(request), shared_control_(std::move(control)), control_(*shared_control_),
           started_(started), timeout_timer_(core.context),
--- a/src/gateway/exchange_control.h
+++ b/src/gateway/exchange_control.h
@@ -2,8 +2,8 @@
 
 /// Cancels an exchange when its caller leaves or its deadline passes.
 
+#include "gateway/caller_connection.h"
 #include "intake/intake_guard.h"
-#include "net/connection_pool.h"
 #include "net/task.h"
 
 #include <functional>
@@ -16,7 +16,7 @@
 class exchange_control {
 public:
     /// `place` counts what the exchange holds. Precondition: `caller` and `place` outlive the exchange.
-    exchange_control(tcp::socket& caller, intake_place& place) : caller_(caller), place_(place) {}
+    exchange_control(caller_connection& caller, intake_place& place) : caller_(caller), place_(place) {}
 
     /// Returns the caller's share in the limits of the process.
     intake_place& place() { return place_; }
@@ -44,7 +44,8 @@
     /// Cancels the exchange if the caller has closed its connection and this process has not noticed yet, as
     /// when it is behind with its work.
     void check_caller() {
-        if (is_closed_by_peer(caller_)) {
+        caller_.read_arrived();
+        if (caller_.has_ended()) {
             note_caller_left();
         }
     }
@@ -64,8 +65,7 @@
         timed_out_ = true;
         reset_upstream();
         call_cancel_handler();
-        net_error ignored;
-        caller_.cancel(ignored); // A caller that does not read must not block the exchange.
+        caller_.stop_write(); // A caller that does not read must not block the exchange.
     }
 
     /// Records that the final answer was sent, so that a timer that fires later has no effect.
@@ -95,7 +95,7 @@
         }
     }
 
-    tcp::socket& caller_;
+    caller_connection& caller_;
     intake_place& place_;
     tcp::socket* upstream_ = nullptr;
     std::function<void()> cancel_handler_; ///< Called on cancellation; may be empty.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -288,6 +288,7 @@
             co_await sleep_for(accept_retry_delay);
         }
         sessions_.push_back(session);
+        session->start();
         spawn_for_callers(run_session(std::move(session)));
     }
 }
@@ -369,7 +370,6 @@
             Json::Value fields;
             fields["duration_ms"] = Json::Int64(stall->duration.count());
             fields["unread_bytes"] = Json::UInt64(stall->unread_bytes);
-            fields["reads_after_answer"] = stall->reads_after_answer;
             metrics_.count("caller_sessions_stalled");
             log_.write_failure("caller_session_stalled", std::move(fields));
         }
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -12,6 +12,7 @@
 task<void> exchange<Core>::send_final_answer(attempt_outcome last) {
     if (control_.caller_left()) {
         outcome_ = "caller_left";
+        answer_.break_off(); // It may have closed its sending side only.
         co_return;
     }
     if (answer_.started()) {
@@ -95,7 +96,7 @@
     }
     text_reply reply = to_reply(rejection);
     core_.protocol.add_request_id(reply, terms_);
-    co_await answer_.send_whole(std::move(reply));
+    co_await answer_.send_own(std::move(reply));
 }
 
 /// Counts the prompt as consumed once the first event is passed on: from then on a crash of this process does
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include "net/peer_deadline.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 
 #include <algorithm>
 
@@ -31,26 +32,17 @@
     socket.set_option(tcp_user_timeout(static_cast<int>(unacknowledged_timeout.count())), ignored);
 }
 
-namespace {
-
-/// Returns the error of a read that would not wait; none if there are bytes to read.
-net_error peek(tcp::socket& socket) {
+bool is_open_without_input(tcp::socket& socket) {
     net_error ec;
     socket.non_blocking(true, ec);
     char byte = 0;
     socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
-    return ec;
-}
-
-} // namespace
-
-bool is_open_without_input(tcp::socket& socket) {
-    return peek(socket) == asio::error::would_block;
+    return ec == asio::error::would_block;
 }
 
 bool is_closed_by_peer(tcp::socket& socket) {
-    const net_error ec = peek(socket);
-    return ec && ec != asio::error::would_block;
+    pollfd state{socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) != 0; // Errors and closed descriptors are always reported.
 }
 
 task<result<std::unique_ptr<connection>>> connection_pool::open(std::string address,
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -108,7 +108,8 @@
 /// Returns whether an idle connection is still open and has received no unexpected bytes.
 bool is_open_without_input(tcp::socket& socket);
 
-/// Returns whether the peer has closed the connection, in any way, and sent nothing that is still to be read.
+/// Returns whether the peer has closed the connection, in any way, also behind bytes that are still to be
+/// read.
 bool is_closed_by_peer(tcp::socket& socket);
 
 } // namespace eelgrassgw
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -1,7 +1,7 @@
 #include "net/http_service.h"
 
-#include "intake/body_reader.h"
 #include "intake/counted_write.h"
+#include "intake/request_reader.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
 #include "net/read_ahead.h"
@@ -9,7 +9,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
 
 namespace eelgrassgw {
 
@@ -31,12 +32,36 @@
     intake_guard guard{derive_intake_limits({}), [](const char*, const Json::Value&) {}, metrics};
 };
 
+/// The bytes that arrive on a connection. Its deadline and the loss of its place close the socket.
+class socket_source {
+public:
+    socket_source(tcp::socket& socket, boost::beast::flat_buffer& input) : socket_(socket), input_(input) {}
+
+    boost::beast::flat_buffer& input() { return input_; }
+    bool is_input_full() const { return input_.size() == input_.max_size(); }
+    task<net_error> read_more() {
+        net_error ec;
+        const std::size_t room = std::min(read_bytes, input_.max_size() - input_.size());
+        const std::size_t n = co_await socket_.async_read_some(input_.prepare(room), with_error(ec));
+        input_.commit(n);
+        co_return ec;
+    }
+
+private:
+    /// Bytes of one read. Larger reads save little and stay allocated for each connection.
+    static constexpr std::size_t read_bytes = 32U << 10U;
+
+    tcp::socket& socket_;
+    boost::beast::flat_buffer& input_;
+};
+
 /// Reads one whole request. Returns false if the connection ended or lost its place.
-task<bool> read_request(tcp::socket& socket, boost::beast::flat_buffer& buffer,
-                        http::request_parser<http::string_body>& parser, intake_place& place) {
+task<bool> read_request(tcp::socket& socket, boost::beast::flat_buffer& buffer, body_parser& parser,
+                        intake_place& place) {
     parser.body_limit(http_service::max_request_bytes);
     net_error ec;
     const socket_deadline deadline(socket, http_service::idle_timeout);
+    socket_source source(socket, buffer);
     if (buffer.size() == 0) {
         constexpr std::size_t first_read_bytes = 4096;
         const std::size_t n =
@@ -45,10 +70,10 @@
     }
     if (!ec && !place.is_lost()) {
         place.begin_reading();
-        co_await http::async_read_header(socket, buffer, parser, with_error(ec));
+        ec = co_await read_head(source, parser);
     }
     if (!ec && !place.is_lost()) {
-        ec = co_await read_body(socket, buffer, parser, place);
+        ec = co_await read_body(source, parser, place);
     }
     co_return !ec && !place.is_lost();
 }
--- a/test/soak/caller_connection.h
+++ b/test/soak/soak_caller.h
@@ -14,11 +14,11 @@
 
 /// Sends requests over one connection until the router or its process ends it, and then connects to a random
 /// router again. Not thread-safe.
-class caller_connection {
+class soak_caller {
 public:
     /// Precondition: the references outlive this object.
-    caller_connection(asio::io_context& context, const std::vector<std::string>& router_addresses,
-                      std::mt19937& random)
+    soak_caller(asio::io_context& context, const std::vector<std::string>& router_addresses,
+                std::mt19937& random)
         : context_(context), router_addresses_(router_addresses), random_(random) {}
 
     /// Sends the request and returns its answer; nothing if no whole answer came.
--- a/test/soak/soak_fleet.h
+++ b/test/soak/soak_fleet.h
@@ -55,6 +55,7 @@
         random_deadly.seed(seed() + 3);
         state->random_refusals.seed(seed() + 4);
         state->random_odd_answers.seed(seed() + 5);
+        random_eager.seed(seed() + 6);
         folder = std::filesystem::temp_directory_path() /
                  ("eelgrass-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed()));
         std::filesystem::create_directories(folder);
@@ -293,6 +294,7 @@
     const std::size_t host_count = read_number_from_environment("EELGRASSGW_SOAK_HOSTS", 3);
     std::mt19937 random;
     std::mt19937 random_deadly; ///< Source of the choices for requests with the deadly part.
+    std::mt19937 random_eager;  ///< Source of the choices for callers that send without a pause.
     std::filesystem::path folder;
     std::vector<test_route> routes;
     std::uint64_t version = 1;
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -4,7 +4,7 @@
 /// EELGRASSGW_SOAK_HOSTS the number of hosts (at most 35), each of which runs a relay and two backend
 /// servers.
 
-#include "caller_connection.h"
+#include "soak_caller.h"
 #include "soak_fleet.h"
 
 #include <boost/algorithm/string/replace.hpp>
@@ -38,7 +38,7 @@
 class soak_test : public soak_fleet {
 protected:
     /// Sends one request, checks the answer and returns its status.
-    task<unsigned> send_checked_request(caller_connection& connection, std::string target, bool may_run_again,
+    task<unsigned> send_checked_request(soak_caller& connection, std::string target, bool may_run_again,
                                         bool is_stream) {
         const std::string headers =
             is_stream ? stream_headers("a" + std::to_string(random_below(4)) + ":600,b:400") : "";
@@ -61,13 +61,61 @@
         return bytes.substr(bytes.find("id-"), bytes.find("\r\nDeadline") - bytes.find("id-"));
     }
 
-    /// Sends two bookings at once and reads their answers one after the other.
-    task<void> send_pipelined_bookings(caller_connection& connection) {
-        const std::array bookings = {request("POST", "/book/1"), request("POST", "/book/2")};
-        auto answer = co_await connection.call(bookings[0] + bookings[1]);
-        outcomes.push_back({read_id(bookings[0]), false, answer ? answer->result_int() : 0});
-        answer = co_await connection.read_next_answer();
-        outcomes.push_back({read_id(bookings[1]), false, answer ? answer->result_int() : 0});
+    /// Sends `n` bookings, at least one, in one write and reads their answers one after the other. Returns
+    /// their outcomes.
+    static task<std::vector<request_outcome>> send_bookings(soak_caller& connection, std::size_t n) {
+        std::string bytes;
+        std::vector<request_outcome> sent;
+        for (std::size_t i = 0; i < n; ++i) {
+            const std::string booking = request("POST", "/book/" + std::to_string(i + 1));
+            sent.push_back({read_id(booking), false, 0});
+            bytes += booking;
+        }
+        auto answer = co_await connection.call(bytes);
+        sent[0].status = answer ? answer->result_int() : 0;
+        for (std::size_t i = 1; i < n; ++i) {
+            answer = co_await connection.read_next_answer();
+            sent[i].status = answer ? answer->result_int() : 0;
+        }
+        co_return sent;
+    }
+
+    task<void> send_pipelined_bookings(soak_caller& connection) {
+        const std::vector<request_outcome> sent = co_await send_bookings(connection, 2);
+        outcomes.insert(outcomes.end(), sent.begin(), sent.end());
+    }
+
+    /// Sends bookings over kept connections without a pause, two of them in each second write.
+    task<void> run_eager_caller() {
+        ++active_callers;
+        soak_caller connection(context, router_addresses, random_eager);
+        for (std::size_t i = 0; !stopping; ++i) {
+            const std::vector<request_outcome> sent = co_await send_bookings(connection, 1 + i % 2);
+            eager_outcomes.insert(eager_outcomes.end(), sent.begin(), sent.end());
+            if (sent.back().status == 0) {
+                co_await sleep_for(50ms); // The router may be down.
+            }
+        }
+        --active_callers;
+    }
+
+    /// Expects that every request of callers without a pause is answered, now that no fault is in the way.
+    task<void> expect_every_request_answered() {
+        constexpr auto duration = 2s;
+        const std::size_t before = eager_outcomes.size();
+        stopping = false;
+        for (std::size_t i = 0; i < callers_per_router * router_count; ++i) {
+            asio::co_spawn(context, run_eager_caller(), asio::detached);
+        }
+        co_await sleep_for(duration);
+        stopping = true;
+        while (active_callers > 0) {
+            co_await sleep_for(20ms);
+        }
+        EXPECT_GT(eager_outcomes.size(), before);
+        for (std::size_t i = before; i < eager_outcomes.size(); ++i) {
+            EXPECT_NE(0U, eager_outcomes[i].status) << eager_outcomes[i].id << " got no answer";
+        }
     }
 
     /// Sends a booking or a stream twice at once to the same router, with the same id. The router refuses
@@ -276,7 +324,7 @@
             << "requests with the deadly part went on to reach servers after " << crashes << " crashes";
     }
 
-    task<unsigned> send_random_request(caller_connection& connection) {
+    task<unsigned> send_random_request(soak_caller& connection) {
         const std::string number = std::to_string(random_below(100));
         switch (random_below(4)) {
         case 0:
@@ -292,7 +340,7 @@
 
     task<void> run_caller() {
         ++active_callers;
-        caller_connection connection(context, router_addresses, random);
+        soak_caller connection(context, router_addresses, random);
         while (!stopping) {
             if (state->random_refusals() % 8 == 0) {
                 co_await send_pipelined_bookings(connection);
@@ -310,6 +358,9 @@
         for (std::size_t i = 0; i < callers_per_router * router_count; ++i) {
             asio::co_spawn(context, run_caller(), asio::detached);
         }
+        for (std::size_t i = 0; i < router_count; ++i) {
+            asio::co_spawn(context, run_eager_caller(), asio::detached);
+        }
         asio::co_spawn(context, run_deadly_caller(), asio::detached);
         asio::co_spawn(context, run_uploader(), asio::detached);
         asio::co_spawn(context, leave_odd_entries(), asio::detached);
@@ -329,6 +380,7 @@
         co_await expect_quarantine();
         co_await expect_limit_kept();
         co_await expect_recovery();
+        co_await expect_every_request_answered();
         co_await sleep_for(late_run_time);
     }
 
@@ -337,9 +389,9 @@
         const auto deadline = std::chrono::steady_clock::now() + recovery_timeout;
         int consecutive_successes = 0;
         while (consecutive_successes < required_successes && std::chrono::steady_clock::now() < deadline) {
-            caller_connection reader(context, router_addresses, random);
+            soak_caller reader(context, router_addresses, random);
             const unsigned read = co_await send_checked_request(reader, "/read/1", true, false);
-            caller_connection asker(context, router_addresses, random);
+            soak_caller asker(context, router_addresses, random);
             const unsigned asked = co_await send_checked_request(asker, "/ask/1", true, true);
             consecutive_successes =
                 read == 200 && (asked == 200 || asked == 402) ? consecutive_successes + 1 : 0;
@@ -371,6 +423,9 @@
         for (const request_outcome& each : deadly_outcomes) {
             check_runs(each);
         }
+        for (const request_outcome& each : eager_outcomes) {
+            check_runs(each);
+        }
         EXPECT_LE(delivered_tokens, prepaid_tokens)
             << "the callers received more tokens than the customer has prepaid";
     }
@@ -394,6 +449,7 @@
 
     std::vector<request_outcome> outcomes;
     std::vector<request_outcome> deadly_outcomes; ///< Of requests with the deadly part.
+    std::vector<request_outcome> eager_outcomes;  ///< Of callers that send without a pause.
     tokens delivered_tokens = 0;                  ///< Tokens of all complete streams.
     int active_callers = 0;                       ///< Number of callers that still send requests.
 };
