Waits for room, uploads, budgets and the ledger are woken by notifications

Cause: the class of the forgotten requests. Each of these waits ended by cancelling a timer, which wakes nobody unless the wait has begun. All of them looked at their state again, and all but that of the upload's end are bounded, so no fault is known; a cancellation of a wait for room that had not begun was lost, which no caller caused. Change: notification in place of the timers, which keeps a wake-up that comes too early, and a wait for room that was cancelled before it began takes no place in the queue. Test: wait_that_was_cancelled_before_it_began_takes_no_place.

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -23,6 +23,9 @@
 task<admission_verdict> admission_control::admit(admission_request request,
                                                  std::function<place_attempt()> try_place,
                                                  std::shared_ptr<admission_wait> wait) {
+    if (wait->is_cancelled_) {
+        co_return admission_verdict{};
+    }
     const auto self = shared_from_this();
     const auto now = clock::now();
     const int priority = request.priority;
@@ -43,8 +46,9 @@
     serve_queue();
     if (!wait->verdict_) {
         start_fallback();
-        net_error ignored;
-        co_await wait->timer_.async_wait(with_error(ignored));
+    }
+    while (!wait->verdict_) {
+        co_await wait->ended_.wait();
     }
     wait->on_cancel_ = nullptr;
     co_return wait->verdict_.value_or(admission_verdict{});
@@ -91,7 +95,7 @@
     verdict.waited = std::chrono::duration_cast<milliseconds>(clock::now() - ended.since);
     metrics_.observe("queue_wait", verdict.waited, {{"priority", std::to_string(ended.priority)}});
     ended.wait->verdict_ = verdict;
-    ended.wait->timer_.cancel();
+    ended.wait->ended_.notify();
 }
 
 /// Looks for room at intervals for as long as requests wait.
--- a/src/admission/admission_control.h
+++ b/src/admission/admission_control.h
@@ -4,7 +4,7 @@
 
 #include "admission/admission_queue.h"
 #include "eelgrassgw/metrics/metrics.h"
-#include "net/task.h"
+#include "net/notification.h"
 
 #include <chrono>
 #include <functional>
@@ -34,11 +34,12 @@
 /// Lets the tasks that watch a caller and its deadline end the wait of its request. Not thread-safe.
 class admission_wait {
 public:
-    explicit admission_wait(asio::io_context& context)
-        : timer_(context, asio::steady_timer::time_point::max()) {}
+    explicit admission_wait(asio::io_context& context) : ended_(context.get_executor()) {}
 
-    /// Gives up the place in the queue at once. Does nothing after the wait has ended.
+    /// Gives up the place in the queue at once, or keeps the wait from beginning. Does nothing after the wait
+    /// has ended.
     void cancel() {
+        is_cancelled_ = true;
         if (on_cancel_) {
             on_cancel_();
         }
@@ -47,7 +48,8 @@
 private:
     friend class admission_control;
 
-    asio::steady_timer timer_; ///< Cancelled when the wait ends.
+    notification ended_; ///< Wakes the task of the request.
+    bool is_cancelled_ = false;
     std::function<void()> on_cancel_;
     std::optional<admission_verdict> verdict_; ///< Set once the wait has ended.
 };
--- a/src/budgets/budget_keeper.h
+++ b/src/budgets/budget_keeper.h
@@ -8,7 +8,7 @@
 #include "budgets/fleet_membership.h"
 #include "budgets/ledger_request.h"
 #include "budgets/write_history.h"
-#include "net/task.h"
+#include "net/notification.h"
 #include "retries/backoff.h"
 #include "routes/fleet_configuration.h"
 
@@ -58,7 +58,7 @@
     budget_keeper(asio::io_context& context, Ledger& ledger, ledger_identity identity,
                   const allowance_policy& policy, event_sink_function log)
         : context_(context), ledger_(ledger), identity_(std::move(identity)), allowances_(policy),
-          log_(std::move(log)), wake_timer_(context, clock::time_point::max()) {}
+          log_(std::move(log)), round_wanted_(context.get_executor()) {}
 
     /// Sets the newest configuration, which states the customers' prepaid tokens.
     void set_configuration(std::shared_ptr<const fleet_configuration> configuration) {
@@ -141,7 +141,7 @@
         std::string customer;
         tokens amount = 0;
         std::optional<reservation_verdict> verdict; ///< Result of the reservation; empty while it is pending.
-        asio::steady_timer wake_timer;              ///< Cancelled when the verdict is set.
+        notification decided;                       ///< Wakes the task that waits for the verdict.
     };
 
     /// A write to the ledger that is not known to have been applied or refused.
@@ -151,10 +151,7 @@
         bool is_restoration = false; ///< Whether the changes were applied and credited before.
     };
 
-    void wake() {
-        wake_requested_ = true;
-        wake_timer_.cancel();
-    }
+    void wake() { round_wanted_.notify(); }
     bool ledger_is_fresh() const {
         return known_ledger_.position.revision != 0 && clock::now() - known_ledger_at_ <= max_ledger_age;
     }
@@ -223,10 +220,9 @@
     bool ledger_unavailable_ = false;       ///< Whether the last round failed.
     clock::time_point unavailable_since_{}; ///< Time of the last change of that.
     backoff backoff_{initial_retry_delay, max_retry_delay};
-    bool stopped_ = false;  ///< Whether `return_allowances` has been called.
-    bool in_round_ = false; ///< Whether a round is in progress.
-    bool wake_requested_ = false;
-    asio::steady_timer wake_timer_;
+    bool stopped_ = false;      ///< Whether `return_allowances` has been called.
+    bool in_round_ = false;     ///< Whether a round is in progress.
+    notification round_wanted_; ///< Wakes the task that runs the rounds.
     std::list<std::shared_ptr<waiting_request>> waiting_requests_;
 };
 
@@ -250,12 +246,11 @@
         co_return reservation_verdict::unknown;
     }
     auto request = std::make_shared<waiting_request>(
-        waiting_request{customer, amount, std::nullopt, asio::steady_timer(context_, timeout)});
+        waiting_request{customer, amount, std::nullopt, notification(context_.get_executor())});
     waiting_requests_.push_back(request);
     allowances_.add_waiting_tokens(customer, amount);
     wake();
-    net_error ec;
-    co_await request->wake_timer.async_wait(with_error(ec));
+    (void)co_await request->decided.wait_until(now + timeout);
     if (!request->verdict.has_value()) {
         finish(*request, reservation_verdict::unknown);
         waiting_requests_.remove(request);
@@ -266,12 +261,7 @@
 template <ledger_service Ledger>
 task<void> budget_keeper<Ledger>::run() {
     while (!stopped_) {
-        if (!wake_requested_) {
-            wake_timer_.expires_after(idle_write_interval);
-            net_error ec;
-            co_await wake_timer_.async_wait(with_error(ec));
-        }
-        wake_requested_ = false;
+        (void)co_await round_wanted_.wait_until(clock::now() + idle_write_interval);
         if (stopped_ || configuration_ == nullptr) {
             continue;
         }
@@ -285,7 +275,7 @@
         }
         if (!succeeded) {
             fail_waiting_requests();
-            wake_requested_ = true;
+            wake();
             co_await sleep_for(backoff_.next_delay());
             continue;
         }
@@ -327,7 +317,7 @@
 void budget_keeper<Ledger>::finish(waiting_request& request, reservation_verdict verdict) {
     request.verdict = verdict;
     allowances_.add_waiting_tokens(request.customer, -request.amount);
-    request.wake_timer.cancel();
+    request.decided.notify();
 }
 
 template <ledger_service Ledger>
--- a/src/budgets/ledger_writer.h
+++ b/src/budgets/ledger_writer.h
@@ -4,6 +4,7 @@
 
 #include "base/event_sink.h"
 #include "budgets/ledger_request.h"
+#include "net/notification.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -60,7 +61,7 @@
     ledger_writer(asio::io_context& context, Store store, event_sink_function log,
                   const recovery_times& recovery)
         : context_(context), store_(std::move(store)), log_(std::move(log)), recovery_(recovery),
-          batch_timer_(context) {}
+          batch_changed_(context.get_executor()) {}
 
     /// Submits a request and returns its outcome, or an unknown one after `request_timeout`. Precondition:
     /// this object outlives the task.
@@ -71,7 +72,7 @@
     struct pending_request {
         ledger_request request;
         std::optional<ledger_outcome> outcome; ///< Outcome of the request; empty while it is pending.
-        asio::steady_timer completion_timer;   ///< Cancelled when the outcome is set.
+        notification completed;                ///< Wakes the task that waits for the outcome.
     };
     using batch = std::vector<std::shared_ptr<pending_request>>;
 
@@ -114,7 +115,7 @@
     std::string last_error_;             ///< Error message of the last failed call to the store.
     batch waiting_requests_;
     bool is_processing_ = false;
-    asio::steady_timer batch_timer_;
+    notification batch_changed_; ///< Wakes the task that collects a batch.
 };
 
 template <ledger_store Store>
@@ -125,18 +126,17 @@
         co_return unknown;
     }
     auto pending = std::make_shared<pending_request>(
-        pending_request{request, std::nullopt, asio::steady_timer(context_, request_timeout)});
+        pending_request{request, std::nullopt, notification(context_.get_executor())});
     waiting_requests_.push_back(pending);
     if (request.is_urgent) {
-        batch_timer_.cancel();
+        batch_changed_.notify();
     }
     if (!is_processing_) {
         is_processing_ = true;
         asio::co_spawn(context_, process_batches(), asio::detached);
     }
     if (!pending->outcome.has_value()) { // The outcome may already have been set without a wait.
-        net_error ec;
-        co_await pending->completion_timer.async_wait(with_error(ec));
+        (void)co_await pending->completed.wait_until(clock::now() + request_timeout);
     }
     if (!pending->outcome.has_value()) {
         ledger_outcome unknown;
@@ -168,9 +168,7 @@
         if (clock::now() >= deadline) {
             co_return;
         }
-        batch_timer_.expires_at(deadline);
-        net_error ec; // An urgent request cancels the wait; the loop then recomputes how long to wait.
-        co_await batch_timer_.async_wait(with_error(ec));
+        (void)co_await batch_changed_.wait_until(deadline); // An urgent request changes the deadline.
     }
 }
 
@@ -331,7 +329,7 @@
             outcome.status = kind_of(each->request, cached_.ledger);
             outcome.current = cached_;
         }
-        each->completion_timer.cancel();
+        each->completed.notify();
     }
 }
 
--- a/src/gateway/request_upload.cpp
+++ b/src/gateway/request_upload.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request_upload.h"
 
+#include "net/notification.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -11,21 +13,21 @@
 struct request_upload::state {
     state(tcp::socket& socket, text_request outgoing, std::function<void()> end_handler)
         : upstream(socket), request(std::move(outgoing)), serializer(request), on_end(std::move(end_handler)),
-          end_timer(socket.get_executor()) {}
+          end(socket.get_executor()) {}
 
     void finish(net_error ec) {
         error = ec;
         ended = true;
         std::string().swap(request.body()); // The answer may take long, and another attempt copies it again.
         on_end();
-        end_timer.cancel();
+        end.notify();
     }
 
     tcp::socket& upstream;
     text_request request;
     http::request_serializer<http::string_body> serializer;
     std::function<void()> on_end;
-    asio::steady_timer end_timer; ///< Cancelled at the end of the upload.
+    notification end; ///< Wakes the task that waits for the end.
     net_error error;
     bool ended = false;
 };
@@ -68,9 +70,7 @@
 
 task<void> request_upload::wait_for_end(std::chrono::milliseconds limit) {
     if (in_progress()) {
-        net_error ignored; // The timer is cancelled at the end of the upload.
-        state_->end_timer.expires_after(limit);
-        co_await state_->end_timer.async_wait(with_error(ignored));
+        (void)co_await state_->end.wait_until(notification::clock::now() + limit);
     }
 }
 
@@ -81,8 +81,9 @@
     net_error ignored; // The connection may be closed already.
     state_->upstream.set_option(asio::socket_base::linger(true, 0), ignored);
     state_->upstream.close(ignored);
-    state_->end_timer.expires_at(std::chrono::steady_clock::time_point::max());
-    co_await state_->end_timer.async_wait(with_error(ignored));
+    while (in_progress()) { // The next step of the write fails.
+        co_await state_->end.wait();
+    }
 }
 
 } // namespace eelgrassgw
--- a/test/gateway/admission_test.cpp
+++ b/test/gateway/admission_test.cpp
@@ -261,5 +261,24 @@
     });
 }
 
+/// Guards against a request that waits for room although its caller left before the wait began.
+TEST(admission_wait_test, wait_that_was_cancelled_before_it_began_takes_no_place) {
+    asio::io_context context;
+    metrics_registry metrics;
+    const auto control = std::make_shared<admission_control>(context, metrics);
+    run_task(context, [&]() -> task<void> {
+        const auto wait = std::make_shared<admission_wait>(context);
+        wait->cancel();
+        admission_request waiting;
+        waiting.deadline = admission_control::clock::now() + 1s;
+        const std::function<place_attempt()> find_no_room = [] {
+            return place_attempt::no_room;
+        };
+        const admission_verdict verdict = co_await control->admit(waiting, find_no_room, wait);
+        EXPECT_EQ(admission_verdict::outcome::cancelled, verdict.result);
+        EXPECT_EQ(0U, control->waiting_requests());
+    });
+}
+
 } // namespace
 } // namespace eelgrassgw
