Router: an answer without a length is not whole if its server closes under the upload

Cause: a close while nothing that arrived is unread sends the end in order first; the reset of later bytes then ends the upload with a broken pipe, which counted as an end in order. An engine that ends its own side only keeps the connection: whole. Change: any error of the upload counts. The test that resets a connection after an end in order does so 300 ms later, in place of 100 ms, so that the answer was judged before; that the router waits at most 100 ms is unchanged.

--- a/src/gateway/answer_end.cpp
+++ b/src/gateway/answer_end.cpp
@@ -16,7 +16,7 @@
     }
     const bool ends_with_connection = body.framing == body_framing::connection_end;
     if (ends_with_connection && body.upload_was_cut) {
-        return "the connection was reset while the request was being sent";
+        return "the connection was closed or reset while the request was being sent";
     }
     if (events && events->inside_event) {
         return "the stream ended inside an event";
--- a/src/gateway/answer_end.h
+++ b/src/gateway/answer_end.h
@@ -24,8 +24,8 @@
     /// Why reading ended before the end that the framing marks; empty if that end was reached.
     std::string read_error;
 
-    /// Whether the connection failed while the request was being written, other than by a close in order. The
-    /// error was reported to the writer, so the reader saw a regular end of the connection.
+    /// Whether the server closed or reset the connection while the request was being written. The error was
+    /// reported to the writer, so the reader saw a regular end of the connection.
     bool upload_was_cut = false;
 };
 
@@ -36,8 +36,9 @@
 };
 
 /// Returns why an answer that has ended is not whole; an empty string if it is whole. `events` is present for
-/// a stream. An answer that only the end of its connection marks is whole if the server closed the connection
-/// in order; a stream is then also one that has begun. Thread-safe.
+/// a stream. An answer that only the end of its connection marks is whole if the server ended its side of the
+/// connection in order and did not close it under an unfinished upload; a stream is then also one that has
+/// begun. Thread-safe.
 std::string find_end_fault(const body_end& body, const std::optional<stream_end>& events = std::nullopt);
 
 } // namespace eelgrassgw
--- a/src/gateway/backend_reply.h
+++ b/src/gateway/backend_reply.h
@@ -71,8 +71,8 @@
     /// Largest body of a reply to another request that is skipped.
     static constexpr std::size_t max_skipped_bytes = 1U << 20U;
     static constexpr std::size_t piece_bytes = 8192;
-    /// Time after the end of a connection in which a reset also ends the upload. An upload that goes on for
-    /// longer shows that the server closed its side in order.
+    /// Time after the end of a connection in which a close or a reset also ends the upload. An upload that
+    /// goes on for longer shows that the server ended its own side only.
     static constexpr std::chrono::milliseconds max_reset_delay{100};
 
     task<void> note_connection_end();
--- a/src/gateway/request_upload.cpp
+++ b/src/gateway/request_upload.cpp
@@ -63,9 +63,9 @@
 }
 
 bool request_upload::was_cut() const {
-    // The kernel reports a broken pipe, in place of a reset, if the server had closed its side in order
-    // before it reset what arrived later.
-    return state_->error && state_->error != asio::error::broken_pipe;
+    // A broken pipe, too: the end in order then came before the reset, as it happens if the server closes
+    // while nothing that arrived is unread.
+    return bool(state_->error);
 }
 
 task<void> request_upload::wait_for_end(std::chrono::milliseconds limit) {
--- a/src/gateway/request_upload.h
+++ b/src/gateway/request_upload.h
@@ -28,8 +28,8 @@
     /// Returns the error that ended the upload; none while it is in progress and after all was written.
     net_error error() const;
 
-    /// Returns whether the connection failed during the upload, other than by a close in order of the server.
-    /// The server's bytes that arrived before that can still be read, and then look like a regular end.
+    /// Returns whether the server closed or reset the connection during the upload. Its bytes that arrived
+    /// before that can still be read, and then look like a regular end.
     bool was_cut() const;
 
     /// Waits until the upload has ended or `limit` has passed.
--- a/src/net/notification.h
+++ b/src/net/notification.h
@@ -34,9 +34,7 @@
     }
 
     /// Waits until `notify` is called. Precondition: as for `wait_until`.
-    task<void> wait() {
-        (void)co_await wait_until(clock::time_point::max());
-    }
+    task<void> wait() { (void)co_await wait_until(clock::time_point::max()); }
 
 private:
     asio::steady_timer timer_;
--- a/test/gateway/early_answer_test.cpp
+++ b/test/gateway/early_answer_test.cpp
@@ -19,7 +19,13 @@
 enum class answer_framing { length, chunked, connection_end };
 
 /// What the server does after it has written its bytes.
-enum class answer_end { reset, end_in_order, end_in_order_then_reset, nothing };
+enum class answer_end {
+    reset,
+    end_in_order, ///< Only its own side: the connection stays, as for a server that reads on later.
+    end_in_order_then_reset,
+    close_without_unread_bytes, ///< The end in order comes before the reset of what arrives after the close.
+    nothing
+};
 
 struct early_answer {
     const char* name;
@@ -35,6 +41,12 @@
     {"unframed_ended_in_order", answer_framing::connection_end, true, answer_end::end_in_order, true},
     {"unframed_ended_in_order_and_reset", answer_framing::connection_end, true,
      answer_end::end_in_order_then_reset, true},
+    {"cut_unframed_closed", answer_framing::connection_end, false, answer_end::close_without_unread_bytes,
+     false},
+    {"whole_unframed_closed", answer_framing::connection_end, true, answer_end::close_without_unread_bytes,
+     false},
+    {"whole_length_closed", answer_framing::length, true, answer_end::close_without_unread_bytes, true},
+    {"whole_chunks_closed", answer_framing::chunked, true, answer_end::close_without_unread_bytes, true},
     {"cut_length_reset", answer_framing::length, false, answer_end::reset, false},
     {"cut_length_ended_in_order", answer_framing::length, false, answer_end::end_in_order, false},
     {"whole_length_reset", answer_framing::length, true, answer_end::reset, true},
@@ -48,9 +60,12 @@
 task<void> end_answer(backend_exchange& e, answer_end end) {
     if (end == answer_end::end_in_order || end == answer_end::end_in_order_then_reset) {
         e.end_in_order();
-        co_await sleep_for(100ms);
+        co_await sleep_for(300ms); // The router has judged the answer.
+    }
+    if (end == answer_end::close_without_unread_bytes) {
+        e.end_in_order();
     }
-    if (end == answer_end::reset || end == answer_end::end_in_order_then_reset) {
+    if (end != answer_end::end_in_order && end != answer_end::nothing) {
         e.break_off(true);
     }
     co_await sleep_for(5s);
