Older router: a caller that leaves behind its next request is noticed

Cause: the class of the forgotten requests. is_peer_disconnected looks at the next byte of the connection; with the caller's next request there, the end behind it stayed unseen and the run went on. Change: it asks for the end itself. The look for an alert of a TLS caller stays. Test: caller_that_leaves_behind_its_next_request_is_noticed failed before (not noticed in 2 s).

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -168,7 +168,7 @@
     std::shared_ptr<caller_connection> caller_; ///< Shared with the task that reads from it.
     std::unique_ptr<intake_place> place_;
     std::weak_ptr<exchange_control> current_control_; ///< Control of the request in progress.
-    session_activity activity_ = session_activity::between_requests;
+    session_activity activity_ = session_activity::idle;
     clock::time_point activity_since_ = clock::now();
     bool is_stall_taken_ = false;
 };
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -12,6 +12,7 @@
 #include <cxxtools/net/tcpsocket.h>
 #include <cxxtools/regex.h>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -102,12 +103,13 @@
     }
 
     bool is_peer_disconnected() override {
+        pollfd state{socket_.getFd(), POLLRDHUP, 0};
+        const bool is_closed = ::poll(&state, 1, 0) != 0; // Also behind bytes that are still to be read.
         char byte = 0;
         const ssize_t n = ::recv(socket_.getFd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         // A TLS caller sends an alert before it closes the connection.
         const bool received_tls_alert = n == 1 && byte == tls_alert;
-        return write_failed_ || n == 0 || received_tls_alert ||
-               (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        return write_failed_ || is_closed || received_tls_alert;
     }
 
     bool is_reply_started() const override { return reply_started_; }
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -2,10 +2,17 @@
 
 #include "eelgrassgw/transport/http_client.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <unistd.h>
 
+#include <chrono>
+#include <future>
+#include <thread>
+
 namespace eelgrassgw {
 namespace {
 
@@ -65,5 +72,37 @@
     EXPECT_EQ(reply.value().status, 500);
 }
 
+/// Guards against a caller whose leaving stays unseen behind its next request, so that its run goes on.
+TEST(http_server_test, caller_that_leaves_behind_its_next_request_is_noticed) {
+    using namespace std::chrono_literals;
+    std::promise<void> begun;
+    std::promise<bool> noticed;
+    endpoint server_endpoint;
+    const auto server = start_server(
+        [&](const http_request& request, http_exchange& exchange) {
+            if (request.path != "/first") {
+                return;
+            }
+            EXPECT_FALSE(exchange.is_peer_disconnected());
+            begun.set_value();
+            bool is_noticed = false;
+            for (int i = 0; i < 200 && !is_noticed; ++i) {
+                std::this_thread::sleep_for(10ms);
+                is_noticed = exchange.is_peer_disconnected();
+            }
+            noticed.set_value(is_noticed);
+        },
+        server_endpoint);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket caller(context);
+    caller.connect({boost::asio::ip::make_address(server_endpoint.address),
+                    static_cast<std::uint16_t>(server_endpoint.port)});
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET /first HTTP/1.1\r\nHost: a\r\n\r\n")));
+    begun.get_future().wait();
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET /next HTTP/1.1\r\nHost: a\r\n\r\n")));
+    caller.close();
+    EXPECT_TRUE(noticed.get_future().get());
+}
+
 } // namespace
 } // namespace eelgrassgw
