--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -48,6 +48,9 @@
 
     /// Time that the caller may leave sent data unacknowledged before the connection is closed.
     static constexpr std::chrono::milliseconds unacknowledged_data_timeout{5000};
+    /// Number of bytes that are read from an idle connection before its session begins a request, which then
+    /// counts what it holds.
+    static constexpr std::size_t max_idle_bytes = 4U << 10U;
     /// Number of bytes of a request that may wait to be parsed, besides an incomplete head.
     static constexpr std::size_t max_unparsed_body_bytes = 32U << 10U;
     /// Number of bytes of later requests that are read while a request is served.
@@ -65,6 +68,7 @@
     /// of their arrival. Must be called once, before `run`.
     void start() {
         set_connection_options(caller_->socket(), unacknowledged_data_timeout);
+        caller_->set_read_ahead(max_idle_bytes);
         caller_->start_reading(core_.context.get_executor());
     }
 
@@ -224,6 +228,7 @@
         co_await asio::post(core_.callers, asio::use_awaitable);
         co_return true;
     }
+    caller_->set_read_ahead(max_idle_bytes);
     const auto deadline = clock::now() + current_limits().idle_timeout;
     const std::function<bool()> gives_up = [this] {
         return core_.closing_connections || place_->is_lost();
