Router: requests that are there already take the way of those that wake a session

A request that had arrived when its session began was queued at once, one that woke a waiting session some turns later, so the second one could overtake the first. Change: both pass through the control work once.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -224,8 +224,9 @@
 task<bool> caller_session<Core>::wait_for_request() {
     set_activity(session_activity::idle);
     if (caller_->input().size() > 0) {
-        // Requests that arrived together take turns with those of other callers, in the order of arrival.
-        co_await asio::post(core_.callers, asio::use_awaitable);
+        // Requests that arrived together take turns with those of other callers. The way through the control
+        // work is that of a session that is woken, so requests are served in the order of their arrival.
+        co_await asio::post(core_.context, asio::use_awaitable);
         co_return true;
     }
     caller_->set_read_ahead(max_idle_bytes);
