--- a/test/gateway/caller_connection_test.cpp
+++ b/test/gateway/caller_connection_test.cpp
@@ -30,7 +30,11 @@
         connection =
             std::make_shared<caller_connection>(acceptor.value().accept(asio::any_io_executor(callers)));
     }
-    ~caller_connection_test() override { connection->close(); }
+    void TearDown() override {
+        if (connection != nullptr) {
+            connection->close();
+        }
+    }
 
     /// Runs `body` as callers' work, as a session does.
     void run(std::function<task<void>()> body) {
@@ -230,7 +234,6 @@
         EXPECT_TRUE(co_await wait_until([&] { return kept.use_count() == 1; }));
     });
     EXPECT_TRUE(released.expired());
-    connection = std::make_shared<caller_connection>(tcp::socket(context)); // For the destructor.
 }
 
 } // namespace
