Routers log how each configuration arrived: waits, bytes, reads, decoding

Cause: the log said when a configuration was in force and nothing of the way there, so many small reads, superseded versions, a reply that is given up, a shared link and a slow store could not be told apart. Change: call_http notes how a reply arrives; the line configuration_in_force has bytes, reads, configurations_in_reply, waited_ms, read_ms, decode_ms and callers_delay_ms, and a failed call names the bytes and reads before it. No decision changes.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -153,6 +153,7 @@
     follower_callbacks configuration_callbacks();
     follower_callbacks backend_callbacks();
     void apply_configuration(const followed_object& object);
+    void describe_configuration_read(Json::Value& fields) const;
     void apply_backend_change(const followed_change& change, bool after_outage);
     std::optional<backend_directory::entry> decode_entry(const followed_object& object);
     void add_announced_relays(const std::vector<std::string>& relays);
@@ -176,6 +177,8 @@
     quarantine_sync<typename Platform::objects> quarantine_sync_;
     std::optional<tcp::acceptor> acceptor_;
     std::vector<std::weak_ptr<caller_session<core>>> sessions_;
+    reply_arrival configuration_arrival_;    ///< How the last reply with configurations arrived.
+    std::size_t configurations_in_reply_ = 0; ///< Number of configurations in that reply.
     held_tokens reported_held_tokens_;       ///< What the log last told about the tokens taken.
     std::set<std::string> announced_relays_; ///< Addresses of relays that relays or peers have announced.
     std::set<std::string> rejected_entries_; ///< Names of entries whose rejection has been logged.
--- a/src/gateway/internal/gateway_following.h
+++ b/src/gateway/internal/gateway_following.h
@@ -24,6 +24,10 @@
 template <gateway_platform Platform>
 follower_callbacks gateway<Platform>::configuration_callbacks() {
     follower_callbacks callbacks = common_callbacks();
+    callbacks.arrived = [this](const reply_arrival& arrival, std::size_t objects) {
+        configuration_arrival_ = arrival;
+        configurations_in_reply_ = objects;
+    };
     callbacks.listed = [this](const object_listing& all, bool) {
         for (const followed_object& object : all.objects) {
             apply_configuration(object);
@@ -57,9 +61,28 @@
     core_.configuration = decoded.value();
     budgets_.set_configuration(decoded.value());
     update_relays();
+    describe_configuration_read(fields);
     log_.write("configuration_in_force", std::move(fields));
 }
 
+/// Adds to a line of the log how the configuration was read from the store: the wait for the first byte of
+/// the reply, the time until its last one, and what decoding has taken since.
+template <gateway_platform Platform>
+void gateway<Platform>::describe_configuration_read(Json::Value& fields) const {
+    const auto ms_between = [](clock::time_point begin, clock::time_point end) {
+        return Json::Int64(std::chrono::round<milliseconds>(end - begin).count());
+    };
+    const reply_arrival& arrival = configuration_arrival_;
+    fields["bytes"] = Json::UInt64(arrival.bytes);
+    fields["reads"] = arrival.reads;
+    fields["configurations_in_reply"] = Json::UInt64(configurations_in_reply_);
+    fields["waited_ms"] = ms_between(arrival.sent_at, arrival.first_read_at);
+    fields["read_ms"] = ms_between(arrival.first_read_at, arrival.ended_at);
+    fields["decode_ms"] = ms_between(arrival.ended_at, clock::now());
+    fields["callers_delay_ms"] =
+        Json::Int64(std::chrono::round<milliseconds>(core_.load.callers_delay()).count());
+}
+
 template <gateway_platform Platform>
 follower_callbacks gateway<Platform>::backend_callbacks() {
     follower_callbacks callbacks = common_callbacks();
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -13,10 +13,30 @@
 constexpr std::chrono::seconds idle_timeout{20};
 constexpr std::uint64_t max_reply_bytes = 8U << 20U;
 
+/// Reads the rest of a reply and notes how it arrives.
+task<net_error> read_reply(connection& from, reply_parser<http::string_body>& parser,
+                           reply_arrival& arrival) {
+    net_error ec;
+    parser.eager(true);
+    while (!ec && !parser.is_done()) {
+        const std::size_t n =
+            co_await http::async_read_some(from.socket, from.buffer, parser, with_error(ec));
+        if (n > 0) {
+            arrival.first_read_at = arrival.reads == 0 ? reply_arrival::clock::now() : arrival.first_read_at;
+            arrival.bytes += n;
+            ++arrival.reads;
+        }
+    }
+    co_return ec;
+}
+
 } // namespace
 
 task<result<text_reply>> call_http(connection_pool& pool, std::string address, text_request request,
-                                   call_timeouts timeouts) {
+                                   call_timeouts timeouts, reply_arrival* arrival) {
+    reply_arrival own_arrival;
+    reply_arrival& noted = arrival == nullptr ? own_arrival : *arrival;
+    noted = {};
     auto opened = co_await pool.open(address, timeouts.connect);
     if (!opened) {
         co_return opened.error();
@@ -32,16 +52,18 @@
     {
         const peer_deadline deadline(server_connection->socket, timeouts.reply,
                                      peer_deadline::awaited::reply);
+        noted.sent_at = reply_arrival::clock::now();
         co_await http::async_write(server_connection->socket, request, with_error(ec));
         if (!ec) {
-            co_await http::async_read(server_connection->socket, server_connection->buffer, parser,
-                                      with_error(ec));
+            ec = co_await read_reply(*server_connection, parser, noted);
         }
+        noted.ended_at = reply_arrival::clock::now();
         timed_out = deadline.passed();
     }
     if (ec) {
         const std::string cause =
-            timed_out ? "no reply in " + std::to_string(timeouts.reply.count()) + " ms" : ec.message();
+            (timed_out ? "no reply in " + std::to_string(timeouts.reply.count()) + " ms" : ec.message()) +
+            " (" + std::to_string(noted.bytes) + " bytes in " + std::to_string(noted.reads) + " reads)";
         co_return make_failure(errc::outcome_unknown, "call " + std::string(request.target()), address,
                                cause);
     }
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -12,10 +12,22 @@
     std::chrono::milliseconds reply{1000}; ///< Longest time from sending the request to the end of the reply.
 };
 
+/// How the reply to one call arrived.
+struct reply_arrival {
+    using clock = std::chrono::steady_clock;
+
+    clock::time_point sent_at{};       ///< Time at which the request was about to be sent.
+    clock::time_point first_read_at{}; ///< Time of the first read; that of the epoch if nothing was read.
+    clock::time_point ended_at{};      ///< Time at which the whole reply had been read, or the call failed.
+    std::size_t bytes = 0;             ///< Number of bytes that were read.
+    int reads = 0;                     ///< Number of reads that brought bytes.
+};
+
 /// Sends `request` once to `address` and returns the reply. Fails with `unreachable` if no connection could
-/// be opened, so that nothing was sent, and with `outcome_unknown` if no whole reply arrived in time.
-/// Precondition: the pool outlives the call.
+/// be opened, so that nothing was sent, and with `outcome_unknown` if no whole reply arrived in time. Stores
+/// in `arrival` how the reply arrived, unless it is null. Precondition: the pool and `arrival` outlive the
+/// call.
 task<result<text_reply>> call_http(connection_pool& pool, std::string address, text_request request,
-                                   call_timeouts timeouts);
+                                   call_timeouts timeouts, reply_arrival* arrival = nullptr);
 
 } // namespace eelgrassgw
--- a/src/overload/load_monitor.h
+++ b/src/overload/load_monitor.h
@@ -49,6 +49,9 @@
     /// `objective`, and processor time is short.
     bool would_wait_too_long(milliseconds objective) const;
 
+    /// Returns how long callers' work that is added now is likely to wait in the event loop.
+    clock::duration callers_delay() const { return callers_work_.delay(clock::now()); }
+
     const headroom& state() const { return headroom_; }
 
 private:
--- a/src/store/object_follower.h
+++ b/src/store/object_follower.h
@@ -20,6 +20,10 @@
     std::function<void(const object_listing& all, bool after_outage)> listed;
     std::function<void(const followed_change& change, bool after_outage)> changed;
 
+    /// Called before `listed` and before the first `changed` with the way in which the store's reply arrived
+    /// and the number of objects or changes in it. May be empty.
+    std::function<void(const reply_arrival& arrival, std::size_t objects)> arrived;
+
     /// Called when the store was restored from a copy. May be empty.
     std::function<void(std::uint64_t era)> restored;
 
@@ -92,6 +96,7 @@
         }
         note_reply();
         note_era(listing.value().position.era);
+        report_arrival(listing.value().arrival, listing.value().objects.size());
         callbacks_.listed(listing.value(), after_outage());
         position_ = listing.value().position;
         needs_list_ = false;
@@ -113,6 +118,7 @@
             co_return true;
         }
         note_reply();
+        report_arrival(changes.value().arrival, changes.value().changes.size());
         for (const followed_change& change : changes.value().changes) {
             callbacks_.changed(change, after_outage());
         }
@@ -175,6 +181,12 @@
         failing_ = true;
     }
 
+    void report_arrival(const reply_arrival& arrival, std::size_t objects) const {
+        if (callbacks_.arrived && objects > 0) {
+            callbacks_.arrived(arrival, objects);
+        }
+    }
+
     bool after_outage() const {
         return outage_ended_at_ != clock::time_point{} && clock::now() - outage_ended_at_ < recovery_window;
     }
--- a/src/store/store_objects.h
+++ b/src/store/store_objects.h
@@ -3,7 +3,7 @@
 /// Defines the objects of the platform's store and the changes to them that a router follows.
 
 #include "eelgrassgw/base/json.h"
-#include "net/task.h"
+#include "net/http_call.h"
 
 #include <chrono>
 #include <compare>
@@ -40,6 +40,7 @@
 struct object_listing {
     std::vector<followed_object> objects;
     store_position position;
+    reply_arrival arrival; ///< How the last page arrived.
 };
 
 /// The changes to the objects of a kind since a revision.
@@ -47,6 +48,7 @@
     std::vector<followed_change> changes;
     store_position position;   ///< Position from which the next watch continues.
     bool history_lost = false; ///< True if the store no longer has the changes; list the objects again.
+    reply_arrival arrival;     ///< How the store's reply arrived.
 };
 
 /// The outcome of a conditional write of an object.
--- a/src/store/store_paths.cpp
+++ b/src/store/store_paths.cpp
@@ -28,14 +28,15 @@
 }
 
 task<result<text_reply>> store_paths::call(text_request request, call_urgency urgency,
-                                           std::chrono::milliseconds extra_wait) {
+                                           std::chrono::milliseconds extra_wait,
+                                           reply_arrival* arrival) {
     const std::vector<std::string> paths = order_paths(urgency, clock::now());
     std::string errors;
     for (const std::string& path : paths) {
         const std::chrono::milliseconds reply_timeout = reply_timeout_ + extra_wait;
         const call_timeouts timeouts{connect_timeout, reply_timeout};
         request.set(relay_timeout_header, std::to_string(reply_timeout.count()));
-        auto reply = co_await call_http(pool_, path, request, timeouts);
+        auto reply = co_await call_http(pool_, path, request, timeouts, arrival);
         if (reply && !rejects_call(reply.value())) {
             note_success(path);
             co_return reply;
