Tests of configurations that come late, which fail on the current code

What callers saw: 404 by an older version seconds after a newer one was acknowledged, at routers without room. The setting configuration_limit has no effect yet. The fixture of the busy router is shared by two test files now.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -177,11 +177,11 @@
     quarantine_sync<typename Platform::objects> quarantine_sync_;
     std::optional<tcp::acceptor> acceptor_;
     std::vector<std::weak_ptr<caller_session<core>>> sessions_;
-    reply_arrival configuration_arrival_;    ///< How the last reply with configurations arrived.
+    reply_arrival configuration_arrival_;     ///< How the last reply with configurations arrived.
     std::size_t configurations_in_reply_ = 0; ///< Number of configurations in that reply.
-    held_tokens reported_held_tokens_;       ///< What the log last told about the tokens taken.
-    std::set<std::string> announced_relays_; ///< Addresses of relays that relays or peers have announced.
-    std::set<std::string> rejected_entries_; ///< Names of entries whose rejection has been logged.
+    held_tokens reported_held_tokens_;        ///< What the log last told about the tokens taken.
+    std::set<std::string> announced_relays_;  ///< Addresses of relays that relays or peers have announced.
+    std::set<std::string> rejected_entries_;  ///< Names of entries whose rejection has been logged.
 };
 
 template <gateway_platform Platform>
--- a/src/store/store_paths.cpp
+++ b/src/store/store_paths.cpp
@@ -28,8 +28,7 @@
 }
 
 task<result<text_reply>> store_paths::call(text_request request, call_urgency urgency,
-                                           std::chrono::milliseconds extra_wait,
-                                           reply_arrival* arrival) {
+                                           std::chrono::milliseconds extra_wait, reply_arrival* arrival) {
     const std::vector<std::string> paths = order_paths(urgency, clock::now());
     std::string errors;
     for (const std::string& path : paths) {
--- a/test/gateway/control_priority_test.cpp
+++ b/test/gateway/control_priority_test.cpp
@@ -1,16 +1,12 @@
 /// Tests that the router's own delay makes no control call fail, and that control work goes on under load.
 
-#include "gateway_fixture.h"
+#include "busy_router_fixture.h"
 #include "net/http_call.h"
 #include "net/peer_deadline.h"
-#include "overload/deferred_queue.h"
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
-#include <filesystem>
-#include <fstream>
 #include <thread>
 
 namespace eelgrassgw {
@@ -94,46 +90,14 @@
     });
 }
 
-class control_priority_test : public gateway_fixture {
-protected:
-    control_priority_test()
-        : log_file("control_priority_test." + std::to_string(getpid()) + ".log"),
-          file_log(open(log_file.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600), "router") {}
-    void TearDown() override { std::filesystem::remove(log_file); }
-
-    /// Keeps callers' work of 1 ms each in the queue of the event loop, for `backlog` at any time.
-    void keep_callers_busy(std::chrono::milliseconds backlog) {
-        busy = true;
-        for (int i = 0; i < backlog.count(); ++i) {
-            asio::post(callers, [this] { work(); });
-        }
-    }
-    void work() {
-        const auto end = std::chrono::steady_clock::now() + 1ms;
-        while (std::chrono::steady_clock::now() < end) {
-        }
-        if (busy) {
-            asio::post(callers, [this] { work(); });
-        }
-    }
-    std::string logged() const {
-        std::ifstream file(log_file);
-        return {std::istreambuf_iterator<char>(file), {}};
-    }
-
-    deferred_executor callers{context};
-    bool busy = false;
-    std::string log_file;
-    event_log file_log;
-};
+using control_priority_test = busy_router_fixture;
 
 /// Guards against the fault that a router at capacity applied a changed configuration after 3.6 s and marked
 /// the store and its relays as failed.
 TEST_F(control_priority_test, busy_router_applies_a_configuration_and_loses_no_store_path) {
     configure({{"/read/"}});
     add_backend("s1", "plain", answering("ok"));
-    router = std::make_unique<gateway_type>(context, settings, file_log, metrics);
-    ASSERT_TRUE(router->start().ok());
+    start_router();
     run_task(context, [&]() -> task<void> {
         co_await wait_until_ready();
         keep_callers_busy(4000ms);
--- a/test/gateway/http_call_test.cpp
+++ b/test/gateway/http_call_test.cpp
@@ -122,5 +122,42 @@
 INSTANTIATE_TEST_SUITE_P(heads, invalid_call_reply_test, ::testing::ValuesIn(invalid_replies()),
                          [](const auto& info) { return std::string(info.param.name); });
 
+/// Guards against a reply that is thrown away and asked for again while it is still arriving.
+TEST_F(http_call_fixture, reply_that_keeps_arriving_is_read_to_its_end_after_the_timeout) {
+    const std::string piece(256U << 10U, 'p');
+    constexpr int pieces = 12;
+    const scripted_backend server(context, next_loopback_address(), [&](backend_exchange& e) -> task<void> {
+        co_await e.write(ok_line + "Content-Length: " + std::to_string(piece.size() * pieces) + "\r\n\r\n");
+        for (int i = 0; i < pieces; ++i) {
+            co_await e.write(piece);
+            co_await sleep_for(100ms);
+        }
+    });
+    connection_pool pool(context);
+    run_task(context, [&]() -> task<void> {
+        text_request request(http::verb::get, "/", 11);
+        const auto reply = co_await call_http(pool, server.address(), std::move(request), {300ms, 300ms});
+        EXPECT_TRUE(reply.ok()) << reply.error().text();
+    });
+}
+
+/// Guards against a peer that keeps a call open for ever with a byte now and then.
+TEST_F(http_call_fixture, reply_that_trickles_is_given_up) {
+    const scripted_backend server(context, next_loopback_address(), [&](backend_exchange& e) -> task<void> {
+        co_await e.write(ok_line + "Content-Length: 100000\r\n\r\n");
+        while (co_await e.try_write("b")) {
+            co_await sleep_for(20ms);
+        }
+    });
+    connection_pool pool(context);
+    run_task(context, [&]() -> task<void> {
+        const auto started = std::chrono::steady_clock::now();
+        text_request request(http::verb::get, "/", 11);
+        const auto reply = co_await call_http(pool, server.address(), std::move(request), {300ms, 300ms});
+        EXPECT_FALSE(reply.ok());
+        EXPECT_LT(std::chrono::steady_clock::now() - started, 1500ms);
+    });
+}
+
 } // namespace
 } // namespace eelgrassgw
