Control calls: large replies are read in large pieces

What callers saw: 404 by an older version at routers without room. Cause: the HTTP library reads as much as its buffer can hold, and the buffer of a control call held 512 bytes and never grew, as the parser empties it after each read. So a configuration of 320 KB took 630 reads, of 1.1 MB more than 2,100; each takes a turn of the event loop, and at a full router each four turns wait for a batch of callers' work (20 ms).

Change: once the head of a reply is known, the buffer gets room for up to 64 KB of its body. It is given back with the connection.

--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace eelgrassgw {
 
 namespace {
@@ -13,6 +15,22 @@
 constexpr std::chrono::seconds idle_timeout{20};
 constexpr std::uint64_t max_reply_bytes = 8U << 20U;
 
+// Each read takes a turn of the event loop, which at a full process waits for callers' work.
+constexpr std::size_t max_read_bytes = 64U << 10U;
+
+/// Makes room for large reads if much of the reply's body is still to come. The library reads as much as the
+/// buffer can hold, at first 512 bytes.
+void make_room_for_body(connection& from, reply_parser<http::string_body>& parser) {
+    if (!parser.is_header_done()) {
+        return;
+    }
+    const std::uint64_t remaining = parser.content_length_remaining().value_or(max_read_bytes);
+    const auto wanted = static_cast<std::size_t>(std::min<std::uint64_t>(remaining, max_read_bytes));
+    if (wanted > from.buffer.capacity()) {
+        from.buffer.reserve(wanted);
+    }
+}
+
 /// Reads the rest of a reply and notes how it arrives.
 task<net_error> read_reply(connection& from, reply_parser<http::string_body>& parser,
                            reply_arrival& arrival) {
@@ -26,6 +44,7 @@
             arrival.bytes += n;
             ++arrival.reads;
         }
+        make_room_for_body(from, parser);
     }
     co_return ec;
 }
@@ -69,6 +88,7 @@
     }
     text_reply reply = parser.release();
     if (reply.keep_alive() && server_connection->buffer.size() == 0) {
+        server_connection->buffer.shrink_to_fit();
         pool.keep(std::move(server_connection), idle_timeout);
     }
     co_return reply;
