Control calls: a reply that keeps arriving is read to its end

Cause: the timeout of a control call counted the whole reply, so a large one that was still arriving at a VM with a slow link or without processor time was thrown away and begun anew, over another path and after a backoff. Change: bytes that arrive extend the timeout by what they need at 128 KB/s, so a reply of any size is read while it moves, and a peer that trickles is given up as before.

Measured: reply_that_keeps_arriving_is_read_to_its_end_after_the_timeout failed before (given up with 786 KB of 3 MB read) and passes now; reply_that_trickles_is_given_up passes before and now.

--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -32,7 +32,7 @@
 }
 
 /// Reads the rest of a reply and notes how it arrives.
-task<net_error> read_reply(connection& from, reply_parser<http::string_body>& parser,
+task<net_error> read_reply(connection& from, reply_parser<http::string_body>& parser, peer_deadline& deadline,
                            reply_arrival& arrival) {
     net_error ec;
     parser.eager(true);
@@ -43,6 +43,7 @@
             arrival.first_read_at = arrival.reads == 0 ? reply_arrival::clock::now() : arrival.first_read_at;
             arrival.bytes += n;
             ++arrival.reads;
+            deadline.note_bytes(n);
         }
         make_room_for_body(from, parser);
     }
@@ -69,12 +70,11 @@
     net_error ec;
     bool timed_out = false;
     {
-        const peer_deadline deadline(server_connection->socket, timeouts.reply,
-                                     peer_deadline::awaited::reply);
+        peer_deadline deadline(server_connection->socket, timeouts.reply, peer_deadline::awaited::reply);
         noted.sent_at = reply_arrival::clock::now();
         co_await http::async_write(server_connection->socket, request, with_error(ec));
         if (!ec) {
-            ec = co_await read_reply(*server_connection, parser, noted);
+            ec = co_await read_reply(*server_connection, parser, deadline, noted);
         }
         noted.ended_at = reply_arrival::clock::now();
         timed_out = deadline.passed();
--- a/src/net/peer_deadline.cpp
+++ b/src/net/peer_deadline.cpp
@@ -36,6 +36,7 @@
     asio::steady_timer timer;
     int steps_left = steps_per_timeout;
     int extra_steps_left = max_extra_steps;
+    std::chrono::steady_clock::duration extension{0}; ///< Time that the bytes that have arrived allow.
     bool armed = true;
     bool passed = false;
 };
@@ -50,6 +51,11 @@
     state_->timer.cancel();
 }
 
+void peer_deadline::note_bytes(std::size_t bytes) {
+    const std::chrono::duration<double> allowed(double(bytes) / double(min_reply_rate));
+    state_->extension += std::chrono::duration_cast<std::chrono::steady_clock::duration>(allowed);
+}
+
 bool peer_deadline::passed() const {
     return state_->passed;
 }
@@ -60,6 +66,10 @@
         if (ec || !waiting->armed) {
             return;
         }
+        if (waiting->steps_left == 1 && waiting->extension >= waiting->step) {
+            waiting->extension -= waiting->step;
+            return wait(waiting);
+        }
         --waiting->steps_left;
         if (waiting->steps_left <= 0 && waiting->extra_steps_left > 0 &&
             has_acted(waiting->socket, waiting->what)) {
--- a/src/net/peer_deadline.h
+++ b/src/net/peer_deadline.h
@@ -5,6 +5,7 @@
 #include "net/task.h"
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 
 namespace eelgrassgw {
@@ -12,8 +13,8 @@
 /// Closes a socket if its peer has not done its part within a timeout, so that the pending operation on the
 /// socket fails. The timeout passes in steps. A step that ends late, because the event loop was behind,
 /// counts as one that ended in time. What the peer has done by the end but this process has not yet seen is
-/// waited for. The destructor cancels the timeout. Precondition: the socket outlives this object. Not
-/// thread-safe.
+/// waited for. Bytes of a reply that arrive extend the timeout by the time that a slow link needs for them.
+/// The destructor cancels the timeout. Precondition: the socket outlives this object. Not thread-safe.
 class peer_deadline {
 public:
     /// What the peer has to do.
@@ -27,6 +28,12 @@
     peer_deadline(const peer_deadline&) = delete;
     peer_deadline& operator=(const peer_deadline&) = delete;
 
+    /// Slowest rate, in bytes a second, at which a reply may keep arriving after the timeout.
+    static constexpr std::size_t min_reply_rate = 128U << 10U;
+
+    /// Counts bytes of the reply that have arrived. They must be counted as they arrive.
+    void note_bytes(std::size_t bytes);
+
     /// Returns whether the timeout passed and the socket was closed.
     bool passed() const;
 
