Configurations: a router that is behind reads the newest version alone, and decodes what changed

What callers saw: 404 by an older version at routers without room, the later the more versions came. Cause: a watch returns every version since the last one that was read, oldest first, and each was read and decoded whole; while that lasted, further versions came, so the next reply was longer still.

Change: the follower of the configuration lists the object (one version, the newest) in place of a watch until it has caught up: after a reply with several versions, and when a watch's reply turns out to be larger than twice the last one, which is then not read on. So the time from an acknowledgement to force is that of two reads of one version, whatever the pace. Of the versions of one reply the newest is decoded first and older ones are passed over; if the newest is invalid, the one before counts. The decoder takes routes and customers whose texts stood in the version before from there, and the scanner of JSON texts skips strings faster and splits an object once.

Measured: versions_in_quick_succession_do_not_delay_the_newest failed before (last version not in force after 6,000 ms, another after 10,809 ms, with the store behind a link of 400 KB/s; in the first form of the test, with slow answers of the store, 10,785 ms) and passes. The link replaces the slow answers, since a reply that is not read on must cost no more of it; bound and versions are the same.

--- a/include/eelgrassgw/base/failure.h
+++ b/include/eelgrassgw/base/failure.h
@@ -29,6 +29,7 @@
     ran_before,            ///< An earlier incarnation may have run the request.
     rebuilding,            ///< The agent does not yet know which requests its predecessor ran.
     overloaded,            ///< A bounded queue is full.
+    reply_too_large,       ///< A reply is larger than the caller wants to read.
 };
 
 /// Returns the `std::error_code` for `e`. Thread-safe.
--- a/src/base/failure.cpp
+++ b/src/base/failure.cpp
@@ -46,6 +46,8 @@
             return "rebuilding";
         case errc::overloaded:
             return "overloaded";
+        case errc::reply_too_large:
+            return "reply_too_large";
         }
         return "unknown error";
     }
--- a/src/base/json_scanner.cpp
+++ b/src/base/json_scanner.cpp
@@ -1,6 +1,7 @@
 #include "base/json_scanner.h"
 
 #include <cstddef>
+#include <cstring>
 
 namespace eelgrassgw {
 
@@ -20,10 +21,22 @@
 /// not end.
 std::size_t skip_string(std::string_view text, std::size_t from) {
     std::size_t at = from + 1;
-    while (at < text.size() && text[at] != '"') {
-        at += text[at] == '\\' ? 2 : 1;
+    while (at < text.size()) {
+        const void* quote = std::memchr(text.data() + at, '"', text.size() - at);
+        if (quote == nullptr) {
+            return text.size();
+        }
+        const std::size_t end = std::size_t(static_cast<const char*>(quote) - text.data());
+        std::size_t backslashes = 0;
+        while (end - backslashes > from + 1 && text[end - backslashes - 1] == '\\') {
+            ++backslashes;
+        }
+        at = end + 1;
+        if (backslashes % 2 == 0) {
+            return at;
+        }
     }
-    return at < text.size() ? at + 1 : text.size();
+    return text.size();
 }
 
 /// Returns the first position from `from` on of `delimiter` outside all strings and brackets, or the end of
@@ -72,20 +85,38 @@
     return split_enclosed(array, '[', ']');
 }
 
-std::string_view find_json_member(std::string_view object, std::string_view name) {
+std::vector<json_member> split_json_object(std::string_view object) {
+    std::vector<json_member> members;
     for (const std::string_view member : split_enclosed(object, '{', '}')) {
         const std::size_t colon = find_delimiter(member, 0, ':');
         const std::string_view key = trim(member.substr(0, colon));
         const bool is_quoted = key.size() >= 2 && key.front() == '"' && key.back() == '"';
-        if (is_quoted && colon < member.size() && key.substr(1, key.size() - 2) == name) {
-            return trim(member.substr(colon + 1));
+        if (is_quoted && colon < member.size()) {
+            members.push_back({key.substr(1, key.size() - 2), trim(member.substr(colon + 1))});
+        }
+    }
+    return members;
+}
+
+std::string_view find_json_member(const std::vector<json_member>& members, std::string_view name) {
+    for (const json_member& each : members) {
+        if (each.name == name) {
+            return each.value;
         }
     }
     return {};
 }
 
+std::string_view find_json_member(std::string_view object, std::string_view name) {
+    return find_json_member(split_json_object(object), name);
+}
+
 Json::Value parse_json_member(std::string_view object, std::string_view name) {
-    const result<Json::Value> value = parse_json(std::string(find_json_member(object, name)));
+    return parse_json_member(split_json_object(object), name);
+}
+
+Json::Value parse_json_member(const std::vector<json_member>& members, std::string_view name) {
+    const result<Json::Value> value = parse_json(std::string(find_json_member(members, name)));
     return value ? value.value() : Json::Value();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,8 +32,9 @@
 template <class T>
 concept gateway_platform = caller_protocol<typename T::protocol> && followable_store<typename T::objects> &&
     writable_store<typename T::objects> && ledger_store<typename T::budgets> &&
-    requires(const Json::Value& document, const std::string& name) {
-    { T::decode_configuration(document) } -> std::same_as<result<std::shared_ptr<const fleet_configuration>>>;
+    requires(const Json::Value& document, const std::string& name,
+             typename T::configuration_decoder decoder) {
+    { decoder.decode(name, 0U) } -> std::same_as<result<std::shared_ptr<const fleet_configuration>>>;
     { T::decode_backend_server(name, document) } -> std::same_as<result<backend_server>>;
     { T::configuration_kind } -> std::convertible_to<std::string>;
     { T::configuration_name } -> std::convertible_to<std::string>;
@@ -177,6 +178,7 @@
     quarantine_sync<typename Platform::objects> quarantine_sync_;
     std::optional<tcp::acceptor> acceptor_;
     std::vector<std::weak_ptr<caller_session<core>>> sessions_;
+    typename Platform::configuration_decoder configuration_decoder_;
     reply_arrival configuration_arrival_;     ///< How the last reply with configurations arrived.
     std::size_t configurations_in_reply_ = 0; ///< Number of configurations in that reply.
     held_tokens reported_held_tokens_;        ///< What the log last told about the tokens taken.
--- a/src/gateway/internal/gateway_following.h
+++ b/src/gateway/internal/gateway_following.h
@@ -24,6 +24,8 @@
 template <gateway_platform Platform>
 follower_callbacks gateway<Platform>::configuration_callbacks() {
     follower_callbacks callbacks = common_callbacks();
+    callbacks.form = content_form::text;
+    callbacks.newest_only = true;
     callbacks.arrived = [this](const reply_arrival& arrival, std::size_t objects) {
         configuration_arrival_ = arrival;
         configurations_in_reply_ = objects;
@@ -46,7 +48,11 @@
     if (object.name != Platform::configuration_name) {
         return;
     }
-    auto decoded = Platform::decode_configuration(object.content);
+    std::optional<std::uint64_t> in_force;
+    if (core_.configuration != nullptr) {
+        in_force = core_.configuration->version();
+    }
+    const auto decoded = configuration_decoder_.decode(object.text, in_force);
     Json::Value fields;
     fields["revision"] = Json::UInt64(object.position.revision);
     if (!decoded) {
@@ -54,10 +60,10 @@
         log_.write_failure("configuration_rejected", std::move(fields));
         return;
     }
-    fields["version"] = Json::UInt64(decoded.value()->version());
-    if (core_.configuration != nullptr && decoded.value()->version() <= core_.configuration->version()) {
+    if (decoded.value() == nullptr) {
         return;
     }
+    fields["version"] = Json::UInt64(decoded.value()->version());
     core_.configuration = decoded.value();
     budgets_.set_configuration(decoded.value());
     update_relays();
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::chrono::seconds idle_timeout{20};
-constexpr std::uint64_t max_reply_bytes = 8U << 20U;
 
 // Each read takes a turn of the event loop, which at a full process waits for callers' work.
 constexpr std::size_t max_read_bytes = 64U << 10U;
@@ -53,7 +52,7 @@
 } // namespace
 
 task<result<text_reply>> call_http(connection_pool& pool, std::string address, text_request request,
-                                   call_timeouts timeouts, reply_arrival* arrival) {
+                                   call_timeouts timeouts, reply_arrival* arrival, std::size_t max_bytes) {
     reply_arrival own_arrival;
     reply_arrival& noted = arrival == nullptr ? own_arrival : *arrival;
     noted = {};
@@ -66,7 +65,7 @@
     request.keep_alive(true);
     request.prepare_payload();
     reply_parser<http::string_body> parser;
-    parser.body_limit(max_reply_bytes);
+    parser.body_limit(max_bytes);
     net_error ec;
     bool timed_out = false;
     {
@@ -80,11 +79,11 @@
         timed_out = deadline.passed();
     }
     if (ec) {
+        const errc code = ec == http::error::body_limit ? errc::reply_too_large : errc::outcome_unknown;
         const std::string cause =
             (timed_out ? "no reply in " + std::to_string(timeouts.reply.count()) + " ms" : ec.message()) +
             " (" + std::to_string(noted.bytes) + " bytes in " + std::to_string(noted.reads) + " reads)";
-        co_return make_failure(errc::outcome_unknown, "call " + std::string(request.target()), address,
-                               cause);
+        co_return make_failure(code, "call " + std::string(request.target()), address, cause);
     }
     text_reply reply = parser.release();
     if (reply.keep_alive() && server_connection->buffer.size() == 0) {
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -9,9 +9,13 @@
 /// Timeouts of one call.
 struct call_timeouts {
     std::chrono::milliseconds connect{300}; ///< Longest time to open a connection.
-    std::chrono::milliseconds reply{1000}; ///< Longest time from sending the request to the end of the reply.
+    /// Longest time from sending the request to the end of the reply, which the bytes that arrive extend.
+    std::chrono::milliseconds reply{1000};
 };
 
+/// Largest body of a reply to a control call.
+inline constexpr std::size_t max_reply_bytes = 8U << 20U;
+
 /// How the reply to one call arrived.
 struct reply_arrival {
     using clock = std::chrono::steady_clock;
@@ -24,10 +28,11 @@
 };
 
 /// Sends `request` once to `address` and returns the reply. Fails with `unreachable` if no connection could
-/// be opened, so that nothing was sent, and with `outcome_unknown` if no whole reply arrived in time. Stores
-/// in `arrival` how the reply arrived, unless it is null. Precondition: the pool and `arrival` outlive the
-/// call.
+/// be opened, so that nothing was sent, with `reply_too_large` as soon as it shows that the reply's body
+/// exceeds `max_bytes`, and with `outcome_unknown` if no whole reply arrived in time. Stores in `arrival` how
+/// the reply arrived, unless it is null. Precondition: the pool and `arrival` outlive the call.
 task<result<text_reply>> call_http(connection_pool& pool, std::string address, text_request request,
-                                   call_timeouts timeouts, reply_arrival* arrival = nullptr);
+                                   call_timeouts timeouts, reply_arrival* arrival = nullptr,
+                                   std::size_t max_bytes = max_reply_bytes);
 
 } // namespace eelgrassgw
--- a/src/routes/fleet_configuration.cpp
+++ b/src/routes/fleet_configuration.cpp
@@ -8,25 +8,25 @@
 
 namespace {
 
-std::string normalized_host(std::string_view host) {
-    std::string name(host.substr(0, host.find(':')));
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
-    return name;
-}
-
 std::string route_key(const std::string& host, std::string_view prefix) {
     return host + "\n" + std::string(prefix);
 }
 
 } // namespace
 
+std::string normalize_host(std::string_view host) {
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+    return name;
+}
+
 const route* fleet_configuration::find_route(std::string_view host, std::string_view path) const {
-    const std::string name = normalized_host(host);
+    const std::string name = normalize_host(host);
     std::size_t end = path.rfind('/');
     while (end != std::string_view::npos) {
         const auto it = routes_.find(route_key(name, path.substr(0, end + 1)));
         if (it != routes_.end()) {
-            return &it->second;
+            return it->second.get();
         }
         end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
     }
@@ -40,7 +40,7 @@
 
 const customer* fleet_configuration::find_customer(const std::string& name) const {
     const auto it = customers_.find(name);
-    return it == customers_.end() ? nullptr : &it->second;
+    return it == customers_.end() ? nullptr : it->second.get();
 }
 
 const service_definition& fleet_configuration::find_service(const std::string& name) const {
@@ -59,22 +59,31 @@
 }
 
 fleet_configuration::builder& fleet_configuration::builder::add(route added) {
-    added.host = normalized_host(added.host);
-    if (added.max_event_gap > std::chrono::milliseconds(0)) {
-        for (const weighted_service& each : added.services) {
-            const auto [it, is_new] = built_->event_gaps_.try_emplace(each.service, added.max_event_gap);
-            it->second = std::min(it->second, added.max_event_gap);
+    added.host = normalize_host(added.host);
+    return add(std::make_shared<const route>(std::move(added)));
+}
+
+fleet_configuration::builder& fleet_configuration::builder::add(std::shared_ptr<const route> added) {
+    if (added->max_event_gap > std::chrono::milliseconds(0)) {
+        for (const weighted_service& each : added->services) {
+            const auto [it, is_new] = built_->event_gaps_.try_emplace(each.service, added->max_event_gap);
+            it->second = std::min(it->second, added->max_event_gap);
         }
     }
-    built_->routes_[route_key(added.host, added.path_prefix)] = std::move(added);
+    std::string key = route_key(added->host, added->path_prefix);
+    built_->routes_[std::move(key)] = std::move(added);
     return *this;
 }
 
 fleet_configuration::builder& fleet_configuration::builder::add(customer added) {
-    for (const std::string& key : added.api_keys) {
-        built_->customer_of_key_[key] = added.name;
+    return add(std::make_shared<const customer>(std::move(added)));
+}
+
+fleet_configuration::builder& fleet_configuration::builder::add(std::shared_ptr<const customer> added) {
+    for (const std::string& key : added->api_keys) {
+        built_->customer_of_key_[key] = added->name;
     }
-    built_->customers_[added.name] = std::move(added);
+    built_->customers_[added->name] = std::move(added);
     return *this;
 }
 
--- a/src/routes/fleet_configuration.h
+++ b/src/routes/fleet_configuration.h
@@ -79,8 +79,9 @@
 private:
     std::uint64_t version_ = 0;
     caller_limits limits_;
-    std::unordered_map<std::string, route> routes_; ///< Routes by host and prefix.
-    std::map<std::string, customer> customers_;
+    /// Routes by host and prefix.
+    std::unordered_map<std::string, std::shared_ptr<const route>> routes_;
+    std::map<std::string, std::shared_ptr<const customer>> customers_;
     std::unordered_map<std::string, std::string> customer_of_key_; ///< Customer names by API key.
     std::unordered_map<std::string, service_definition> services_;
     std::unordered_map<std::string, std::chrono::milliseconds> event_gaps_; ///< Shortest ones by service.
@@ -96,9 +97,16 @@
     /// Adds a route. Precondition: `added.services` is not empty.
     builder& add(route added);
 
+    /// Adds a route that other configurations may share. Precondition: it is not null, `services` is not
+    /// empty, and `host` is what `normalize_host` returns.
+    builder& add(std::shared_ptr<const route> added);
+
     /// Adds a customer with its API keys.
     builder& add(customer added);
 
+    /// Adds a customer that other configurations may share. Precondition: it is not null.
+    builder& add(std::shared_ptr<const customer> added);
+
     /// Adds the definition of a service.
     builder& add(service_definition added);
 
@@ -112,6 +120,9 @@
     std::shared_ptr<fleet_configuration> built_;
 };
 
+/// Returns a host name in lower case, without a port. Thread-safe.
+std::string normalize_host(std::string_view host);
+
 /// Chooses one of the route's services by weight. Equal values of `random` give the same service.
 const std::string& choose_service(const route& r, std::uint64_t random);
 
--- a/src/store/object_follower.h
+++ b/src/store/object_follower.h
@@ -35,6 +35,17 @@
     /// Time that one watch call waits for changes. A longer one costs fewer calls.
     std::chrono::milliseconds watch_wait{2000};
 
+    /// Whether the contents of objects are parsed.
+    content_form form = content_form::parsed;
+
+    /// Whether only the newest content of each object matters. The changes that one reply brings are then
+    /// reported from the newest to the oldest, and a follower that is behind lists the objects until it has
+    /// caught up, since a watch would return every change.
+    bool newest_only = false;
+
+    /// Returns whether changes are known to follow those that were reported last. May be empty.
+    std::function<bool()> has_newer;
+
     /// If present, no watch is used: the objects are listed again after this time. A watch that hangs is
     /// noticed only by its timeout, while a list that is not answered at once has failed.
     std::optional<std::chrono::milliseconds> list_interval;
@@ -54,6 +65,8 @@
     static constexpr std::chrono::milliseconds max_retry_delay{800};
     /// Delay after a change, so that the next watch call returns several changes at once.
     static constexpr std::chrono::milliseconds batch_delay{100};
+    /// Size up to which a watch's reply is always read.
+    static constexpr std::size_t min_watch_bytes = 64U << 10U;
     /// Time without a reply, beyond the wait of one watch call, that counts as an outage.
     static constexpr std::chrono::milliseconds outage_threshold{1000};
     /// Time after an outage in which expired entries may reappear.
@@ -86,7 +99,7 @@
     }
 
     task<bool> list() {
-        auto listing = co_await store_.list(kind_);
+        auto listing = co_await store_.list(kind_, callbacks_.form);
         if (!listing) {
             report_failure("list", listing.error().text());
             co_return false;
@@ -98,13 +111,25 @@
         note_era(listing.value().position.era);
         report_arrival(listing.value().arrival, listing.value().objects.size());
         callbacks_.listed(listing.value(), after_outage());
+        const bool is_first = position_ == store_position{};
+        const bool has_news = has_changed_since(position_, listing.value());
         position_ = listing.value().position;
-        needs_list_ = false;
+        last_reply_bytes_ = listing.value().arrival.bytes;
+        needs_list_ = has_news && callbacks_.newest_only && !is_first;
+        if (needs_list_) {
+            co_await sleep_for(batch_delay);
+        }
         co_return true;
     }
 
     task<bool> watch() {
-        auto changes = co_await store_.watch(kind_, position_.revision, callbacks_.watch_wait);
+        const std::size_t max_bytes = callbacks_.newest_only ? max_watch_bytes() : max_reply_bytes;
+        auto changes = co_await store_.watch(kind_, position_.revision, callbacks_.watch_wait,
+                                             callbacks_.form, max_bytes);
+        if (changes.failed_with(errc::reply_too_large)) {
+            needs_list_ = true;
+            co_return true;
+        }
         if (!changes) {
             report_failure("watch", changes.error().text());
             co_return false;
@@ -118,13 +143,12 @@
             co_return true;
         }
         note_reply();
-        report_arrival(changes.value().arrival, changes.value().changes.size());
-        for (const followed_change& change : changes.value().changes) {
-            callbacks_.changed(change, after_outage());
-        }
+        report_changes(changes.value());
         position_ = std::max(position_, changes.value().position);
         if (!changes.value().changes.empty()) {
             co_await sleep_for(batch_delay);
+            needs_list_ = must_list(changes.value().changes.size());
+            last_reply_bytes_ = changes.value().arrival.bytes;
         }
         co_return true;
     }
@@ -181,6 +205,31 @@
         failing_ = true;
     }
 
+    void report_changes(object_change_list& reported) const {
+        report_arrival(reported.arrival, reported.changes.size());
+        if (callbacks_.newest_only) {
+            std::reverse(reported.changes.begin(), reported.changes.end());
+        }
+        for (const followed_change& change : reported.changes) {
+            callbacks_.changed(change, after_outage());
+        }
+    }
+
+    static bool has_changed_since(store_position position, const object_listing& all) {
+        return std::any_of(all.objects.begin(), all.objects.end(),
+                           [&](const auto& each) { return each.position > position; });
+    }
+
+    /// Returns whether the next watch would probably return changes that are superseded already, given the
+    /// number of changes in the reply to the last one.
+    bool must_list(std::size_t last_changes) const {
+        const bool is_newer_known = callbacks_.has_newer && callbacks_.has_newer();
+        return callbacks_.newest_only && (last_changes > 1 || is_newer_known);
+    }
+
+    /// Returns the size of a watch's reply from which the objects are rather listed.
+    std::size_t max_watch_bytes() const { return std::max(min_watch_bytes, 2 * last_reply_bytes_); }
+
     void report_arrival(const reply_arrival& arrival, std::size_t objects) const {
         if (callbacks_.arrived && objects > 0) {
             callbacks_.arrived(arrival, objects);
@@ -196,6 +245,7 @@
     follower_callbacks callbacks_;
     store_position position_; ///< Position after which the next watch starts.
     backoff backoff_{initial_retry_delay, max_retry_delay};
+    std::size_t last_reply_bytes_ = 0; ///< Size of the last reply that brought objects.
     bool needs_list_ = true;
     bool failing_ = false;
     clock::time_point last_reply_at_{};   ///< Time of the last list or watch call that succeeded.
--- a/src/store/store_objects.h
+++ b/src/store/store_objects.h
@@ -23,11 +23,18 @@
     friend auto operator<=>(const store_position&, const store_position&) = default;
 };
 
+/// Whether the contents of objects are parsed, or handed over as the JSON texts that the store sent.
+enum class content_form {
+    parsed,
+    text,
+};
+
 /// One object with its name and content.
 struct followed_object {
     std::string name;
     store_position position; ///< Position of the store at which the object last changed.
-    Json::Value content;
+    Json::Value content;     ///< The parsed content; null if the text was asked for.
+    std::string text;        ///< The content's text; empty if the parsed content was asked for.
 };
 
 /// One change of an object.
@@ -74,9 +81,12 @@
 /// Requires a store whose objects can be listed and watched.
 template <class T>
 concept followable_store = requires(T store, const std::string& kind, std::uint64_t since_revision,
-                                    std::chrono::milliseconds wait) {
-    { store.list(kind) } -> std::same_as<task<result<object_listing>>>;
-    { store.watch(kind, since_revision, wait) } -> std::same_as<task<result<object_change_list>>>;
+                                    std::chrono::milliseconds wait, content_form form,
+                                    std::size_t max_bytes) {
+    { store.list(kind, form) } -> std::same_as<task<result<object_listing>>>;
+    {
+        store.watch(kind, since_revision, wait, form, max_bytes)
+        } -> std::same_as<task<result<object_change_list>>>;
 };
 
 } // namespace eelgrassgw
--- a/src/store/store_paths.cpp
+++ b/src/store/store_paths.cpp
@@ -28,18 +28,22 @@
 }
 
 task<result<text_reply>> store_paths::call(text_request request, call_urgency urgency,
-                                           std::chrono::milliseconds extra_wait, reply_arrival* arrival) {
+                                           std::chrono::milliseconds extra_wait, reply_arrival* arrival, std::size_t max_bytes) {
     const std::vector<std::string> paths = order_paths(urgency, clock::now());
     std::string errors;
     for (const std::string& path : paths) {
         const std::chrono::milliseconds reply_timeout = reply_timeout_ + extra_wait;
         const call_timeouts timeouts{connect_timeout, reply_timeout};
         request.set(relay_timeout_header, std::to_string(reply_timeout.count()));
-        auto reply = co_await call_http(pool_, path, request, timeouts, arrival);
+        auto reply = co_await call_http(pool_, path, request, timeouts, arrival, max_bytes);
         if (reply && !rejects_call(reply.value())) {
             note_success(path);
             co_return reply;
         }
+        if (reply.failed_with(errc::reply_too_large)) {
+            note_success(path);
+            co_return reply.error();
+        }
         const std::string error =
             reply ? "status " + std::to_string(reply.value().result_int()) : reply.error().text();
         note_failure(path, error, clock::now());
--- a/src/store/store_paths.h
+++ b/src/store/store_paths.h
@@ -53,10 +53,11 @@
     /// Sends `request` over the paths one after another until one replies, and returns that reply. After a
     /// call that failed over all paths, the next calls try only one path each. `extra_wait` is the additional
     /// time that the store may hold back its reply, as for a long poll. Stores in `arrival` how the reply
-    /// arrived, unless it is null.
+    /// arrived, unless it is null. A reply whose body exceeds `max_bytes` is not read: the call fails with
+    /// `reply_too_large`, which says nothing against the path.
     task<result<text_reply>> call(text_request request, call_urgency urgency,
                                   std::chrono::milliseconds extra_wait = std::chrono::milliseconds(0),
-                                  reply_arrival* arrival = nullptr);
+                                  reply_arrival* arrival = nullptr, std::size_t max_bytes = max_reply_bytes);
 
     /// Returns whether the last call failed over all paths that it tried.
     bool all_paths_failed() const { return all_failed_; }
--- a/test/gateway/adapter_test.cpp
+++ b/test/gateway/adapter_test.cpp
@@ -167,7 +167,7 @@
 }
 
 TEST(decode_configuration, routes_services_and_customers_are_decoded) {
-    const auto configuration = decode_configuration(parse_json(R"({"version":7,
+    const auto configuration = configuration_decoder().decode(R"({"version":7,
         "routes":[{"name":"r","hostname":"h.example","pathPrefix":"/p/","kind":"streaming","timeoutMs":12000,
                    "targetLatencyMs":400,"priority":0,"maxAttempts":2,"public":false,"sticky":true,"resumable":true,
                    "targetGapMs":600,"allowedRegions":["north"],
@@ -176,8 +176,8 @@
                      "engine":{"stride":6,"kvCapacityTokens":610587}},{"name":"b","maxConnections":110}],
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
         "tenants":[{"name":"t","apiKeys":["k"],"priority":1,"prepaid":4166154,
-                    "allowedRegions":["north","south"]}]})")
-                                                        .value());
+                    "allowedRegions":["north","south"]}]})",
+                                                              std::nullopt);
     ASSERT_TRUE(configuration.ok());
     const route* r = configuration.value()->find_route("h.example", "/p/x");
     ASSERT_NE(nullptr, r);
@@ -198,11 +198,58 @@
 }
 
 TEST(decode_configuration, error_for_an_unknown_kind_names_the_field) {
-    const auto configuration = decode_configuration(
-        parse_json(R"({"version":1,"routes":[{"name":"r","service":"s","kind":"sometimes"}]})").value());
+    const auto configuration = configuration_decoder().decode(
+        R"({"version":1,"routes":[{"name":"r","service":"s","kind":"sometimes"}]})", std::nullopt);
     ASSERT_FALSE(configuration.ok());
     EXPECT_NE(std::string::npos, configuration.error().message.find("\"kind\" is \"sometimes\""));
 }
 
+/// Returns a configuration whose routes begin with these prefixes.
+std::string document_with_routes(int version, const std::vector<std::string>& prefixes) {
+    Json::Value document;
+    document["version"] = version;
+    for (const std::string& prefix : prefixes) {
+        Json::Value route;
+        route["hostname"] = "H.example:80";
+        route["pathPrefix"] = prefix;
+        route["service"] = "s";
+        route["kind"] = "idempotent";
+        document["routes"].append(route);
+    }
+    return to_text(document);
+}
+
+TEST(decode_configuration, unchanged_routes_are_not_decoded_again) {
+    configuration_decoder decoder;
+    const auto first = decoder.decode(document_with_routes(1, {"/a/", "/b/"}), std::nullopt);
+    const auto second = decoder.decode(document_with_routes(2, {"/new/", "/b/", "/b/"}), 1);
+    ASSERT_TRUE(first.ok());
+    ASSERT_TRUE(second.ok());
+    EXPECT_EQ(first.value()->find_route("h.example", "/b/"), second.value()->find_route("h.example", "/b/"));
+    EXPECT_NE(nullptr, second.value()->find_route("h.example", "/new/"));
+    EXPECT_EQ(nullptr, second.value()->find_route("h.example", "/a/"));
+}
+
+TEST(decode_configuration, version_that_is_not_newer_is_passed_over) {
+    configuration_decoder decoder;
+    const auto same = decoder.decode(document_with_routes(3, {"/a/"}), 3);
+    ASSERT_TRUE(same.ok());
+    EXPECT_EQ(nullptr, same.value());
+}
+
+/// Guards against what a rejected version leaves behind in the decoder.
+TEST(decode_configuration, version_after_an_invalid_one_is_decoded_whole) {
+    configuration_decoder decoder;
+    ASSERT_TRUE(decoder.decode(document_with_routes(1, {"/a/", "/b/"}), std::nullopt).ok());
+    std::string invalid = document_with_routes(2, {"/a/", "/c/"});
+    invalid.replace(invalid.find("\"version\""), 0, "\"tenants\":[{],");
+    EXPECT_FALSE(decoder.decode(invalid, 1).ok());
+    const auto third = decoder.decode(document_with_routes(3, {"/a/", "/c/"}), 1);
+    ASSERT_TRUE(third.ok());
+    for (const char* path : {"/a/", "/c/"}) {
+        EXPECT_NE(nullptr, third.value()->find_route("h.example", path)) << path;
+    }
+}
+
 } // namespace
 } // namespace eelgrassgw::platform
--- a/test/gateway/large_configuration_test.cpp
+++ b/test/gateway/large_configuration_test.cpp
@@ -1,6 +1,7 @@
 /// Tests that a large configuration, and the newest of many, is in force in time at a router without room.
 
 #include "busy_router_fixture.h"
+#include "paced_link.h"
 
 #include <algorithm>
 #include <map>
@@ -55,7 +56,8 @@
 TEST_F(large_configuration_test, versions_in_quick_succession_do_not_delay_the_newest) {
     configure({{"/read/"}});
     add_backend("s1", "plain", answering("ok"));
-    store.bytes_per_s = 400000;
+    const paced_link link(context, next_loopback_address(), store.address(), 400000);
+    settings.store = link.address();
     start_router();
     run_task(context, [&]() -> task<void> {
         co_await wait_until_ready();
--- a/test/gateway/platform_store_stand_in.cpp
+++ b/test/gateway/platform_store_stand_in.cpp
@@ -128,10 +128,6 @@
     text_reply reply = co_await answer_without_era(std::move(request));
     insert_texts(reply.body());
     reply.prepare_payload();
-    if (bytes_per_s > 0) {
-        const std::chrono::duration<double> transfer(double(reply.body().size()) / bytes_per_s);
-        co_await sleep_for(std::chrono::duration_cast<std::chrono::milliseconds>(transfer));
-    }
     reply.set("Store-Era", std::to_string(era));
     co_return reply;
 }
--- a/test/gateway/platform_store_stand_in.h
+++ b/test/gateway/platform_store_stand_in.h
@@ -51,7 +51,6 @@
     std::string unanswered_kind;        ///< Kind whose lists and watches get no answer; empty for none.
     int write_answers_to_lose = 0;      ///< Number of writes to apply without an answer.
     bool watch_history_expired = false; ///< True if the next watch gets status 410.
-    double bytes_per_s = 0;             ///< Rate at which answers are sent, one by one; 0 for no limit.
     std::size_t page_size = 500;        ///< Largest number of objects in a page of a list.
     int calls = 0;                      ///< Number of calls that have arrived.
 
