Configurations: a router that knows of a newer version denies nothing by its own

What callers saw: 404, 401 and 402 by a version that a newer one had replaced; each is a final answer, and the newer version may have the route, the key or the tokens. Cause: a router learned of a version only by having read it whole. Change: a router tells eight others (random ones, one datagram each) of each version that comes into force. While a router knows of a newer version, what it would have answered with 404, 401 or 402 is 503 (configuration_superseded, not run, Retry-After 0.4 s). If it has known of one for three quarters of the platform's bound (configuration_limit_ms, from configApplyMs) and still reaches the store, it refuses all requests so: its removed routes and revoked keys are not served on and the load on it falls, whatever the cause of the delay. A router that reaches the store on no path goes on, as before. A version that a later read of the store lacks is forgotten, so an odd notice does no lasting harm. The choice of random routers stood in limit_notices and is shared now.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -75,6 +75,8 @@
 
     /// Retry-After time for requests that were refused because of overload.
     static constexpr milliseconds retry_after_overload{250};
+    /// Retry-After time while a newer configuration is on its way to this router.
+    static constexpr milliseconds retry_after_newer_configuration{400};
     /// Retry-After time while the configuration, the budget or every backend server is unavailable.
     static constexpr milliseconds retry_after_outage{800};
 
@@ -112,6 +114,7 @@
     void release_id();
     std::optional<refusal> check_admission();
     std::optional<refusal> check_request();
+    refusal deny(refusal_reason reason, std::string message) const;
     std::optional<quarantined_part> find_quarantined_part() const;
     std::optional<refusal> check_quarantine() const;
     bool take_probe();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,6 +97,10 @@
                            core_.notices, log_sink()) {
         core_.intake = &intake_;
         core_.place_by_wait = settings_.place_by_wait;
+        core_.freshness.set_limit(settings_.configuration_limit);
+        core_.is_cut_off = [this] {
+            return paths_.all_paths_failed();
+        };
         core_.load.set_limits(settings_.resources, settings_.event_delay_limit);
     }
 
@@ -257,9 +261,11 @@
 template <gateway_platform Platform>
 void gateway<Platform>::reload(const gateway_settings& changed) {
     core_.retries.set_limits(changed.retries);
+    core_.freshness.set_limit(changed.configuration_limit);
     budgets_.set_policy(changed.allowances);
     paths_.set_store(changed.store);
     settings_.retries = changed.retries;
+    settings_.configuration_limit = changed.configuration_limit;
     settings_.allowances = changed.allowances;
     settings_.store = changed.store;
     settings_.peers = changed.peers;
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -20,10 +20,13 @@
 #include "quarantine/part_quarantine.h"
 #include "quarantine/request_fingerprint.h"
 #include "retries/retry_budget.h"
+#include "routes/configuration_freshness.h"
+#include "routes/configuration_notices.h"
 #include "routes/fleet_configuration.h"
 
 #include <algorithm>
 #include <concepts>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -57,6 +60,9 @@
         : context(io), callers(deferred_executor(io)), budgets(keeper), log(events), metrics(registry),
           pool(callers), retries(limits), notices(io), long_prompts(notices, directory, incarnation),
           server_limits(notices, directory, notice_address),
+          version_notices(
+              notices, freshness,
+              [this](const char* event, Json::Value fields) { log.write(event, std::move(fields)); }),
           quarantine([this](const auto& parts, const evidence_by_part& evidence, bool is_quarantined) {
               log_quarantine(parts, evidence, is_quarantined);
           }),
@@ -97,6 +103,8 @@
     notice_channel notices;
     prompt_notices long_prompts;
     limit_notices server_limits;
+    configuration_freshness freshness; ///< Whether a newer configuration is known.
+    configuration_notices version_notices;
     place_rules places;
     part_quarantine quarantine; ///< Parts whose requests are kept from backend servers.
     crash_detector crashes;
@@ -104,6 +112,9 @@
     load_monitor load;                            ///< Tells whether this process is short of its resources.
     unrepeatable_requests unrepeatable; ///< What may run only once, and is in progress or may have run.
     std::shared_ptr<const fleet_configuration> configuration; ///< Null until the first one is known.
+    std::function<bool()> is_cut_off = [] {
+        return false;
+    };                                 ///< Whether no path to the store works.
     bool place_by_wait = false;        ///< Whether the expected wait decides which server gets a request.
     bool draining = false;             ///< True once a graceful stop has begun; requests are still served.
     bool refusing_requests = false;    ///< True late in a graceful stop, when new requests are refused.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -109,6 +109,8 @@
     settings.resources = read_resources(reader);
     settings.places = read_places(reader);
     settings.place_by_wait = reader.boolean_or("place_by_wait", settings.place_by_wait);
+    settings.configuration_limit =
+        reader.milliseconds_or("configuration_limit_ms", 0, 600000, settings.configuration_limit);
     settings.event_delay_limit =
         reader.milliseconds_or("event_delay_limit_ms", 0, 60000, settings.event_delay_limit);
     reader.finish();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -37,8 +37,7 @@
     /// is beyond its bound. Otherwise they go by the number of this router's requests.
     bool place_by_wait = false;
 
-    /// Longest time for which requests are served by a configuration that is known not to be the newest one;
-    /// 0 if not stated.
+    /// Longest time from the acknowledgement of a configuration until it is in force; 0 if not stated.
     std::chrono::milliseconds configuration_limit{0};
 
     /// Longest time that an event of a stream may spend in this router; 0 if not stated.
--- a/src/gateway/internal/exchange_admission.h
+++ b/src/gateway/internal/exchange_admission.h
@@ -36,13 +36,17 @@
     if (core_.refusing_requests) {
         return refusal{refusal_reason::draining, "this router is stopping", milliseconds(0)};
     }
+    if (core_.freshness.is_outdated(clock::now()) && !core_.is_cut_off()) {
+        return refusal{refusal_reason::configuration_superseded,
+                       "this router has not read the newest configuration in time",
+                       retry_after_newer_configuration};
+    }
     const std::string target(request_.target());
     const std::string path = target.substr(0, target.find('?'));
     const std::string host(request_[http::field::host]);
     route_ = configuration_->find_route(host, path);
     if (route_ == nullptr) {
-        return refusal{
-            refusal_reason::no_route, "no route for host \"" + host + "\" and path \"" + path + "\"", {}};
+        return deny(refusal_reason::no_route, "no route for host \"" + host + "\" and path \"" + path + "\"");
     }
     if (core_.load.would_wait_too_long(route_->latency_objective)) {
         return refusal{refusal_reason::router_full, "this router is too busy to answer in time",
@@ -60,7 +64,7 @@
     if (route_->needs_key && configuration_->has_customers()) {
         customer_ = terms_.api_key ? configuration_->find_customer_by_key(*terms_.api_key) : nullptr;
         if (customer_ == nullptr) {
-            return refusal{refusal_reason::unknown_key, "the key belongs to no customer", {}};
+            return deny(refusal_reason::unknown_key, "the key belongs to no customer");
         }
     }
     if (route_->carries_prompt && !terms_.prompt) {
@@ -77,6 +81,17 @@
     return std::nullopt;
 }
 
+/// Returns the refusal of what the configuration does not allow. While a newer one is known, which may allow
+/// it, the caller is told to come back.
+template <class Core>
+refusal exchange<Core>::deny(refusal_reason reason, std::string message) const {
+    if (core_.freshness.is_superseded()) {
+        return {refusal_reason::configuration_superseded,
+                message + ", but a newer configuration is on its way", retry_after_newer_configuration};
+    }
+    return {reason, std::move(message), {}};
+}
+
 /// Keeps the caller from repeating a request that may run only once: from now on it may be sent at any time.
 /// Must be called before the first wait of the exchange, so that no other attempt can come in between.
 template <class Core>
@@ -177,10 +192,9 @@
         co_return std::nullopt;
     }
     if (verdict == reservation_verdict::exhausted) {
-        co_return refusal{refusal_reason::budget_exhausted,
-                          "the budget of customer \"" + customer_->name + "\" does not cover " +
-                              std::to_string(amount) + " tokens",
-                          {}};
+        co_return deny(refusal_reason::budget_exhausted, "the budget of customer \"" + customer_->name +
+                                                             "\" does not cover " + std::to_string(amount) +
+                                                             " tokens");
     }
     co_return refusal{refusal_reason::budget_unknown,
                       "the budget of customer \"" + customer_->name + "\" cannot be asked now",
--- a/src/gateway/internal/gateway_following.h
+++ b/src/gateway/internal/gateway_following.h
@@ -26,6 +26,12 @@
     follower_callbacks callbacks = common_callbacks();
     callbacks.form = content_form::text;
     callbacks.newest_only = true;
+    callbacks.has_newer = [this] {
+        return core_.freshness.is_superseded();
+    };
+    callbacks.up_to_date = [this](clock::time_point begun_at) {
+        core_.freshness.note_store_read(begun_at);
+    };
     callbacks.arrived = [this](const reply_arrival& arrival, std::size_t objects) {
         configuration_arrival_ = arrival;
         configurations_in_reply_ = objects;
@@ -66,6 +72,8 @@
     fields["version"] = Json::UInt64(decoded.value()->version());
     core_.configuration = decoded.value();
     budgets_.set_configuration(decoded.value());
+    core_.freshness.note_in_force(decoded.value()->version());
+    core_.version_notices.send(decoded.value()->version());
     update_relays();
     describe_configuration_read(fields);
     log_.write("configuration_in_force", std::move(fields));
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::array reasons = {
     reason_entry{refusal_reason::no_configuration, "no_configuration", http::status::service_unavailable},
+    reason_entry{refusal_reason::configuration_superseded, "configuration_superseded",
+                 http::status::service_unavailable},
     reason_entry{refusal_reason::no_route, "no_route", http::status::not_found},
     reason_entry{refusal_reason::unknown_key, "unknown_key", http::status::unauthorized},
     reason_entry{refusal_reason::malformed, "malformed", http::status::bad_request},
--- a/src/gateway/refusal.h
+++ b/src/gateway/refusal.h
@@ -12,25 +12,26 @@
 
 /// Reason for an answer that the gateway generates.
 enum class refusal_reason {
-    no_configuration,    ///< This process has not received a configuration yet.
-    no_route,            ///< The configuration has no route for the host and path.
-    unknown_key,         ///< The key belongs to no customer.
-    malformed,           ///< The request cannot be parsed.
-    head_too_large,      ///< The head of the request exceeds the size limit.
-    body_too_large,      ///< The body of the request exceeds the size limit.
-    request_timeout,     ///< The request did not arrive in time.
-    budget_exhausted,    ///< The remaining budget does not cover the request.
-    budget_unknown,      ///< The budget could not be checked in time.
-    no_backend_server,   ///< No backend server of the service can be reached.
-    overloaded,          ///< The backend servers that could take the request are full.
-    router_full,         ///< This process could not forward the request in time.
-    prompt_quarantined,  ///< A part of the prompt crashes the backend servers that answer it.
-    request_quarantined, ///< The request itself crashes the backend servers that run it.
-    draining,            ///< This process is stopping.
-    caller_deadline,     ///< The deadline of the request passed, and the request has not run.
-    timeout,             ///< The deadline of the request passed; the request may have run.
-    already_sent,        ///< An earlier attempt with the same id may run or have run.
-    backend_failed,      ///< The backend server's answer was lost or invalid; the request may have run.
+    no_configuration,         ///< This process has not received a configuration yet.
+    configuration_superseded, ///< A newer configuration is known, and this process does not have it yet.
+    no_route,                 ///< The configuration has no route for the host and path.
+    unknown_key,              ///< The key belongs to no customer.
+    malformed,                ///< The request cannot be parsed.
+    head_too_large,           ///< The head of the request exceeds the size limit.
+    body_too_large,           ///< The body of the request exceeds the size limit.
+    request_timeout,          ///< The request did not arrive in time.
+    budget_exhausted,         ///< The remaining budget does not cover the request.
+    budget_unknown,           ///< The budget could not be checked in time.
+    no_backend_server,        ///< No backend server of the service can be reached.
+    overloaded,               ///< The backend servers that could take the request are full.
+    router_full,              ///< This process could not forward the request in time.
+    prompt_quarantined,       ///< A part of the prompt crashes the backend servers that answer it.
+    request_quarantined,      ///< The request itself crashes the backend servers that run it.
+    draining,                 ///< This process is stopping.
+    caller_deadline,          ///< The deadline of the request passed, and the request has not run.
+    timeout,                  ///< The deadline of the request passed; the request may have run.
+    already_sent,             ///< An earlier attempt with the same id may run or have run.
+    backend_failed,           ///< The backend server's answer was lost or invalid; the request may have run.
 };
 
 /// An answer that the gateway generates instead of forwarding one.
--- a/src/limits/limit_notices.cpp
+++ b/src/limits/limit_notices.cpp
@@ -1,6 +1,6 @@
 #include "limits/limit_notices.h"
 
-#include "eelgrassgw/base/hash.h"
+#include "base/random_choice.h"
 #include "eelgrassgw/base/json.h"
 
 #include <algorithm>
@@ -50,15 +50,6 @@
     return request_limit_view{rate, milliseconds(age_ms), available.value_or(0)};
 }
 
-/// Moves `n` random elements of the list to its front and drops the others.
-template <class T>
-void keep_random(std::vector<T>& list, std::size_t n) {
-    for (std::size_t i = 0; i < std::min(n, list.size()); ++i) {
-        std::swap(list[i], list[i + random_below(list.size() - i)]);
-    }
-    list.resize(std::min(n, list.size()));
-}
-
 } // namespace
 
 limit_notices::limit_notices(notice_channel& channel, backend_directory& directory, std::string own_address)
--- a/src/store/object_follower.h
+++ b/src/store/object_follower.h
@@ -46,6 +46,10 @@
     /// Returns whether changes are known to follow those that were reported last. May be empty.
     std::function<bool()> has_newer;
 
+    /// Called after `listed` and `changed`, and after a watch without a change. Everything that the store had
+    /// acknowledged at `begun_at` has been reported. May be empty.
+    std::function<void(std::chrono::steady_clock::time_point begun_at)> up_to_date;
+
     /// If present, no watch is used: the objects are listed again after this time. A watch that hangs is
     /// noticed only by its timeout, while a list that is not answered at once has failed.
     std::optional<std::chrono::milliseconds> list_interval;
@@ -99,6 +103,7 @@
     }
 
     task<bool> list() {
+        const auto begun_at = clock::now();
         auto listing = co_await store_.list(kind_, callbacks_.form);
         if (!listing) {
             report_failure("list", listing.error().text());
@@ -114,6 +119,7 @@
         const bool is_first = position_ == store_position{};
         const bool has_news = has_changed_since(position_, listing.value());
         position_ = listing.value().position;
+        report_up_to_date(begun_at);
         last_reply_bytes_ = listing.value().arrival.bytes;
         needs_list_ = has_news && callbacks_.newest_only && !is_first;
         if (needs_list_) {
@@ -123,6 +129,7 @@
     }
 
     task<bool> watch() {
+        const auto begun_at = clock::now();
         const std::size_t max_bytes = callbacks_.newest_only ? max_watch_bytes() : max_reply_bytes;
         auto changes = co_await store_.watch(kind_, position_.revision, callbacks_.watch_wait,
                                              callbacks_.form, max_bytes);
@@ -145,11 +152,12 @@
         note_reply();
         report_changes(changes.value());
         position_ = std::max(position_, changes.value().position);
+        report_up_to_date(begun_at);
         if (!changes.value().changes.empty()) {
-            co_await sleep_for(batch_delay);
-            needs_list_ = must_list(changes.value().changes.size());
             last_reply_bytes_ = changes.value().arrival.bytes;
+            co_await sleep_for(batch_delay);
         }
+        needs_list_ = must_list(changes.value().changes.size());
         co_return true;
     }
 
@@ -215,6 +223,12 @@
         }
     }
 
+    void report_up_to_date(clock::time_point begun_at) const {
+        if (callbacks_.up_to_date) {
+            callbacks_.up_to_date(begun_at);
+        }
+    }
+
     static bool has_changed_since(store_position position, const object_listing& all) {
         return std::any_of(all.objects.begin(), all.objects.end(),
                            [&](const auto& each) { return each.position > position; });
--- a/test/gateway/programs_test.cpp
+++ b/test/gateway/programs_test.cpp
@@ -80,7 +80,7 @@
     std::ofstream(settings_path) << R"({"name":"r","data_centre":"d","listen":"127.0.0.1:1",
         "store":"127.0.0.1:2","resources":{"processor_share":0.2,"memory_mb":120,"max_descriptors":3075,"link_mbps":10},
         "region":"north","data_centres":{"d":"north","e":"south"},"evacuation_limit_ms":5000,"cold_overshoot":1.5,
-        "cold_slack":5,"event_delay_limit_ms":200})";
+        "cold_slack":5,"configuration_limit_ms":2000,"event_delay_limit_ms":200})";
     const auto loaded = load_gateway_settings(settings_path);
     ASSERT_TRUE(loaded.ok()) << loaded.error().text();
     EXPECT_EQ(120U, loaded.value().resources.memory_mb);
--- a/test/gateway/superseded_configuration_test.cpp
+++ b/test/gateway/superseded_configuration_test.cpp
@@ -98,5 +98,18 @@
     });
 }
 
+/// Guards against a router that serves nobody because it is cut off from the store and others are not.
+TEST_F(superseded_configuration_test, router_that_reaches_the_store_on_no_path_goes_on) {
+    settings.configuration_limit = 300ms;
+    run([&]() -> task<void> {
+        store.busy = true;
+        co_await sleep_for(2600ms); // The watch in progress ends, and the next call fails.
+        tell_of_version(2);
+        co_await sleep_for(400ms);
+        EXPECT_EQ(200U, (co_await get("/old/"))->result_int());
+        EXPECT_EQ(503U, (co_await get("/new/"))->result_int());
+    });
+}
+
 } // namespace
 } // namespace eelgrassgw
