Routers log the versions of servers and what requests take up

Cause: nothing read the version of a server's entry, and the line request did not say that a request goes on with a stream, so streams that go on within an answer, over a client's tries, or after the death of all routers could not be told apart. Change: version in each entry of attempts; last_event_id and resumes in the line request. No decision changes.

--- a/src/backends/backend_server.h
+++ b/src/backends/backend_server.h
@@ -15,6 +15,7 @@
     std::string service; ///< Name of the service that the server belongs to.
     std::string address; ///< Address in the form IP:port.
     std::string data_centre;
+    std::string version;         ///< Version of the server's software; empty if not stated.
     int slots = 0;               ///< Number of requests that the server runs concurrently; 0 if not stated.
     bool draining = false;       ///< Whether the server accepts no new requests.
     std::int64_t started_ms = 0; ///< Unix time of the server's start in milliseconds; 0 if not stated.
--- a/src/gateway/internal/exchange_attempt.h
+++ b/src/gateway/internal/exchange_attempt.h
@@ -44,6 +44,7 @@
         core_.pool.put_back(std::move(upstream));
         co_return attempt_outcome::not_sent;
     }
+    attempt_fields_["version"] = server->server.version;
     server->begin_request(clock::now());
     room_hold_.reset(); // From here on, the unread prompt counts.
     unread_prompt_.emplace(core_.long_prompts, server, tokens_to_read_,
--- a/src/gateway/internal/exchange_end.h
+++ b/src/gateway/internal/exchange_end.h
@@ -140,6 +140,10 @@
     if (first_event_after_) {
         fields["first_event_ms"] = Json::Int64(first_event_after_->count());
     }
+    if (terms_.take_up) {
+        fields["last_event_id"] = terms_.take_up->last_event_id;
+        fields["resumes"] = terms_.take_up->first_request_id;
+    }
     if (!error_.empty()) {
         fields["error"] = error_;
     }
--- a/src/gateway/request_terms.h
+++ b/src/gateway/request_terms.h
@@ -37,12 +37,19 @@
     }
 };
 
+/// Which stream a request goes on with, of which an earlier attempt of the caller has delivered a part.
+struct stream_take_up {
+    std::string last_event_id;    ///< Id of the last event that the caller has; never empty.
+    std::string first_request_id; ///< Id of the attempt that brought the first event; empty if not stated.
+};
+
 /// Metadata of a request, as the caller states it.
 struct request_terms {
     std::string id;                                    ///< Id of this attempt of the caller.
     std::optional<std::chrono::milliseconds> deadline; ///< Time that the caller waits for the answer.
     std::optional<std::string> api_key;
     std::optional<prompt_terms> prompt;
+    std::optional<stream_take_up> take_up; ///< Present if the request goes on with a stream.
 };
 
 /// Metadata that the gateway adds to a request before it sends the request to a backend server.
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -74,22 +74,24 @@
     /// Starts a backend server of `service` and adds its entry to the store.
     scripted_backend& add_backend(const std::string& id, const std::string& service,
                                   scripted_backend::script_type script,
-                                  script_start start = script_start::after_request) {
+                                  script_start start = script_start::after_request,
+                                  const std::string& version = "v1") {
         backends.push_back(
             std::make_unique<scripted_backend>(context, next_loopback_address(), std::move(script), start));
-        announce(id, service, backends.back()->address(), "ready");
+        announce(id, service, backends.back()->address(), "ready", 0, version);
         return *backends.back();
     }
 
     /// Writes the entry of a backend server to the store. `started_ms` is the time of its start, which tells
     /// its incarnations apart; 0 leaves it out.
     void announce(const std::string& id, const std::string& service, const std::string& address,
-                  const std::string& state, std::int64_t started_ms = 0) {
+                  const std::string& state, std::int64_t started_ms = 0,
+                  const std::string& version = "v1") {
         Json::Value entry;
         entry["service"] = service;
         entry["address"] = address;
         entry["zone"] = "dc";
-        entry["version"] = "v1";
+        entry["version"] = version;
         entry["slots"] = 8;
         entry["state"] = state;
         entry["sequence"] = 1;
