--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -85,8 +85,7 @@
     /// Writes the entry of a backend server to the store. `started_ms` is the time of its start, which tells
     /// its incarnations apart; 0 leaves it out.
     void announce(const std::string& id, const std::string& service, const std::string& address,
-                  const std::string& state, std::int64_t started_ms = 0,
-                  const std::string& version = "v1") {
+                  const std::string& state, std::int64_t started_ms = 0, const std::string& version = "v1") {
         Json::Value entry;
         entry["service"] = service;
         entry["address"] = address;
