Soak: servers of several versions, callers that take streams up, deaths of all routers

Cause: all servers of the soak had one version, nobody took a stream up, and routers ended one by one, so a joined stream could not show. Change: a server that starts under a new id draws one of three versions, in any order, which stands in its events; callers go on with broken streams at random routers, and each event that they get must be the next one and of the version of the first; all routers are killed together now and then beside all other faults, and once more at the end, when at least half of the broken streams must go on. No check or bound was changed.

--- a/src/store/store_paths.cpp
+++ b/src/store/store_paths.cpp
@@ -28,7 +28,8 @@
 }
 
 task<result<text_reply>> store_paths::call(text_request request, call_urgency urgency,
-                                           std::chrono::milliseconds extra_wait, reply_arrival* arrival, std::size_t max_bytes) {
+                                           std::chrono::milliseconds extra_wait, reply_arrival* arrival,
+                                           std::size_t max_bytes) {
     const std::vector<std::string> paths = order_paths(urgency, clock::now());
     std::string errors;
     for (const std::string& path : paths) {
--- a/test/gateway/raw_caller.h
+++ b/test/gateway/raw_caller.h
@@ -61,6 +61,23 @@
         co_return parser.release();
     }
 
+    /// What has arrived of an answer.
+    struct partial_answer {
+        unsigned status = 0; ///< 0 if no whole head came.
+        std::string body;    ///< What came of the body.
+        bool whole = false;
+    };
+
+    /// Reads the next answer, or what comes of it until the connection ends or `limit` has passed.
+    task<partial_answer> read_partial_answer(std::chrono::milliseconds limit) {
+        http::response_parser<http::string_body> parser;
+        net_error ec;
+        const socket_deadline deadline(socket_, limit);
+        co_await http::async_read(socket_, buffer_, parser, with_error(ec));
+        const unsigned status = parser.is_header_done() ? parser.get().result_int() : 0;
+        co_return partial_answer{status, parser.get().body(), !ec};
+    }
+
     /// Reads all bytes until the connection ends or `limit` has passed.
     task<std::string> read_to_end(std::chrono::milliseconds limit = std::chrono::seconds(5)) {
         std::string bytes;
--- a/test/gateway/stream_origins_test.cpp
+++ b/test/gateway/stream_origins_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -94,11 +95,9 @@
         EXPECT_TRUE(relays.back()->start(address).ok());
         return address;
     }
-    std::vector<std::string> add_relays(int n) {
-        std::vector<std::string> addresses;
-        for (int i = 0; i < n; ++i) {
-            addresses.push_back(add_relay());
-        }
+    std::vector<std::string> add_relays(std::size_t n) {
+        std::vector<std::string> addresses(n);
+        std::generate(addresses.begin(), addresses.end(), [this] { return add_relay(); });
         return addresses;
     }
     std::unique_ptr<origins_router> add_router(const std::vector<std::string>& staying,
--- a/test/gateway/stream_versions_test.cpp
+++ b/test/gateway/stream_versions_test.cpp
@@ -112,9 +112,9 @@
         co_await caller.connect(settings.listen);
         co_await caller.send(request("POST", "/s/", prompt_headers, "prompt text"));
         co_await wait_while_empty(first);
-        std::vector<scripted_backend*> others;
-        for (int i = 0; i < 8; ++i) {
-            others.push_back(&add_server("n" + std::to_string(i), "v2", streaming(5)));
+        std::vector<scripted_backend*> others(8);
+        for (scripted_backend*& each : others) {
+            each = &add_server("n" + std::to_string(backends.size()), "v2", streaming(5));
         }
         add_server("s2", "v1", streaming(5));
         co_await sleep_for(300ms);
--- a/test/soak/soak_backend.cpp
+++ b/test/soak/soak_backend.cpp
@@ -148,6 +148,7 @@
 task<void> soak_backend::serve_stream(backend_exchange& exchange) {
     const std::string attempt_id = exchange.header("Attempt-Id");
     const std::string last_event_id = exchange.header("Last-Event-Id");
+    const std::string own_version = version; // Another server may take this one's place meanwhile.
     const bool unframed = draw_unframed();
     if (!last_event_id.empty() && state_->draw_error_after_break()) {
         co_await answer(exchange, 500, "data: the server failed\n\n");
@@ -167,7 +168,7 @@
     }
     const int first_number = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1;
     for (int number = first_number; number <= events_per_stream; ++number) {
-        const std::string event = make_stream_event(attempt_id, number);
+        const std::string event = make_stream_event(attempt_id, number, own_version);
         const bool is_first = number == first_number;
         if (state_->draw_failure(is_first ? first_event_failure_percent : event_failure_percent)) {
             const bool sends_half = !is_first || state_->draw_failure(50);
@@ -178,7 +179,7 @@
             co_return;
         }
         co_await write_stream_piece(exchange, unframed, event);
-        co_await sleep_for(10ms);
+        co_await sleep_for(state_->event_pause);
     }
     if (unframed) {
         exchange.break_off(false);
--- a/test/soak/soak_backend.h
+++ b/test/soak/soak_backend.h
@@ -20,7 +20,8 @@
     std::mt19937 random_framing;     ///< Source of the choices how answers are framed and what precedes them.
     std::mt19937 random_odd_answers; ///< Source of the choices about answers that are none in the protocol.
     std::mt19937 random_refusals;    ///< Source of the choices about refusals, pauses and pipelined requests.
-    bool failures_disabled = false;  ///< True if the backend servers no longer inject failures.
+    std::chrono::milliseconds event_pause{10}; ///< Time between two events of a stream.
+    bool failures_disabled = false;            ///< True if the backend servers no longer inject failures.
 
     /// Number of requests with the deadly part that servers began to answer, each of which ended its server.
     int crashes = 0;
@@ -67,9 +68,10 @@
 /// Path of the request that ends each server which begins to run it.
 constexpr const char* deadly_path = "/read/deadly";
 
-/// Returns the event with this number of the stream that answers the request `id`.
-inline std::string make_stream_event(const std::string& id, int number) {
-    return "id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n";
+/// Returns the event with this number that a server of this software version writes for the request `id`.
+inline std::string make_stream_event(const std::string& id, int number, const std::string& version) {
+    const std::string text = std::to_string(number);
+    return "id: " + text + "\ndata: " + id + " " + text + " " + version + "\n\n";
 }
 
 /// One backend server with its own address and id.
@@ -80,6 +82,9 @@
     /// Id of this server. The server declines requests that name another id.
     std::string id;
 
+    /// Version of this server's software, which stands in each event of its streams.
+    std::string version = "v1";
+
     /// Stops and continues the server, as signals do with a process; see `scripted_backend::pause`.
     void pause() { server_.pause(); }
     void resume() { server_.resume(); }
--- a/test/soak/soak_fleet.h
+++ b/test/soak/soak_fleet.h
@@ -56,6 +56,7 @@
         state->random_refusals.seed(seed() + 4);
         state->random_odd_answers.seed(seed() + 5);
         random_eager.seed(seed() + 6);
+        random_versions.seed(seed() + 7);
         folder = std::filesystem::temp_directory_path() /
                  ("eelgrass-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed()));
         std::filesystem::create_directories(folder);
@@ -118,23 +119,33 @@
         servers.back()->id = service + "-" + std::to_string(host) + "-1";
         server_links.push_back(std::make_unique<fault_link>(context, link_address, server_address));
         server_addresses.push_back(link_address);
-        announce(servers.back()->id, service, link_address, "ready");
+        servers.back()->version = draw_version();
+        announce_server(servers.size() - 1);
         servers.back()->crash = [this, i = servers.size() - 1] {
             asio::co_spawn(context, crash_server(i), asio::detached);
         };
     }
 
+    /// Returns a software version, of which several are in service at any time.
+    std::string draw_version() { return "v" + std::to_string(1 + random_versions() % 3); }
+
+    /// Writes the entry of a server, as it writes it when it starts.
+    void announce_server(std::size_t i, std::int64_t started_ms = 0) {
+        const std::string& id = servers[i]->id;
+        announce(id, id.substr(0, id.find('-')), server_addresses[i], "ready", started_ms,
+                 servers[i]->version);
+    }
+
     /// Ends a server and starts it again at its address a little later. Its entry vanishes meanwhile.
     task<void> crash_server(std::size_t i) {
         if (server_links[i]->is_down()) {
             co_return;
         }
         const std::string id = servers[i]->id;
-        const std::string service = id.substr(0, id.find('-'));
         remove_entry(id);
         co_await server_links[i]->go_down(milliseconds(500 + random_deadly() % 1500));
         if (servers[i]->id == id) { // Otherwise another server has taken the address over.
-            announce(id, service, server_addresses[i], "ready", ++last_started_ms);
+            announce_server(i, ++last_started_ms);
         }
     }
 
@@ -213,11 +224,12 @@
         }
         const std::string old_id = servers[i]->id;
         const std::string service = old_id.substr(0, old_id.find('-'));
-        announce(old_id, service, server_addresses[i], "draining");
+        announce(old_id, service, server_addresses[i], "draining", 0, servers[i]->version);
         co_await sleep_for(milliseconds(2500));
         remove_entry(old_id);
         servers[i]->id = old_id + "x";
-        announce(servers[i]->id, service, server_addresses[i], "ready");
+        servers[i]->version = draw_version();
+        announce_server(i);
         changing_servers.erase(i);
     }
 
@@ -230,7 +242,8 @@
         ++active_faults;
         const std::string old_id = servers[i]->id;
         servers[i]->id = old_id + "n";
-        announce(servers[i]->id, old_id.substr(0, old_id.find('-')), server_addresses[i], "ready");
+        servers[i]->version = draw_version();
+        announce_server(i);
         co_await sleep_for(milliseconds(1500));
         remove_entry(old_id);
         changing_servers.erase(i);
@@ -256,6 +269,37 @@
         }
     }
 
+    /// Ends all routers at the same moment, unless one of them has a fault of its own.
+    task<void> kill_all_routers() {
+        const std::size_t first_router = processes.size() - router_count;
+        for (std::size_t kind = first_router; kind < processes.size(); ++kind) {
+            if (active_fault_kinds.contains(kind)) {
+                co_return;
+            }
+        }
+        ++active_faults;
+        for (std::size_t kind = first_router; kind < processes.size(); ++kind) {
+            active_fault_kinds.insert(kind);
+            processes[kind].running->send_signal(SIGKILL);
+        }
+        co_await sleep_for(milliseconds(100 + random_versions() % 500));
+        for (std::size_t kind = first_router; kind < processes.size(); ++kind) {
+            processes[kind].start();
+            active_fault_kinds.erase(kind);
+        }
+        --active_faults;
+    }
+
+    /// Ends all routers together now and then, beside all other faults.
+    task<void> kill_routers_together() {
+        while (!stopping) {
+            co_await sleep_for(milliseconds(2500 + random_versions() % 2000));
+            if (!stopping) {
+                co_await kill_all_routers();
+            }
+        }
+    }
+
     /// Injects one fault of the given kind. Faults overlap, as the next one may begin before this one ends.
     task<void> inject_fault(std::size_t kind) {
         ++active_faults;
@@ -293,8 +337,9 @@
     const std::size_t router_count = read_number_from_environment("EELGRASSGW_SOAK_ROUTERS", 2);
     const std::size_t host_count = read_number_from_environment("EELGRASSGW_SOAK_HOSTS", 3);
     std::mt19937 random;
-    std::mt19937 random_deadly; ///< Source of the choices for requests with the deadly part.
-    std::mt19937 random_eager;  ///< Source of the choices for callers that send without a pause.
+    std::mt19937 random_deadly;   ///< Source of the choices for requests with the deadly part.
+    std::mt19937 random_versions; ///< Source of the choices about versions and callers that take streams up.
+    std::mt19937 random_eager;    ///< Source of the choices for callers that send without a pause.
     std::filesystem::path folder;
     std::vector<test_route> routes;
     std::uint64_t version = 1;
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -6,6 +6,7 @@
 
 #include "soak_caller.h"
 #include "soak_fleet.h"
+#include "stream_taker.h"
 
 #include <boost/algorithm/string/replace.hpp>
 
@@ -47,7 +48,7 @@
         const auto answer = co_await connection.call(bytes);
         const unsigned status = answer ? answer->result_int() : 0;
         if (status == 200 && is_stream) {
-            EXPECT_EQ(make_whole_stream(id), answer->body()) << id;
+            EXPECT_EQ(make_whole_stream(id, version_of(answer->body())), answer->body()) << id;
             delivered_tokens += tokens_per_stream;
         } else if (status == 200) {
             EXPECT_EQ(make_plain_answer(id), answer->body());
@@ -147,14 +148,94 @@
                ",120\r\nPrompt-Prefix: " + parts + "\r\n";
     }
 
-    static std::string make_whole_stream(const std::string& id) {
+    static std::string make_whole_stream(const std::string& id, const std::string& of_version) {
         std::string stream;
         for (int n = 1; n <= events_per_stream; ++n) {
-            stream += make_stream_event(id, n);
+            stream += make_stream_event(id, n, of_version);
         }
         return stream;
     }
 
+    /// Returns the software version in the first event of a stream.
+    static std::string version_of(const std::string& stream) {
+        const std::string first_event = stream.substr(0, stream.find("\n\n"));
+        return first_event.substr(first_event.rfind(' ') + 1);
+    }
+
+    /// Sends one request of a stream to a random router and adds what comes of it. Returns the status.
+    task<unsigned> bring_events(taken_stream& stream) {
+        const std::string bytes =
+            request("POST", "/ask/1", stream_headers("a1:600,b:400") + stream.take_up_headers());
+        raw_caller caller(context);
+        co_await caller.connect(router_addresses[random_versions() % router_count]);
+        co_await caller.send(bytes);
+        const auto answer = co_await caller.read_partial_answer(6s);
+        if (answer.status == 200) {
+            stream.append(read_id(bytes), answer.body);
+        }
+        co_return answer.status;
+    }
+
+    /// Begins streams and takes them up again until they are whole, a few times each.
+    task<void> run_stream_taker() {
+        ++active_callers;
+        while (!stopping) {
+            taken_stream stream;
+            for (int tries = 0; tries < 5 && stream.last_event() < events_per_stream; ++tries) {
+                co_await bring_events(stream);
+                co_await sleep_for(milliseconds(50 + random_versions() % 200));
+            }
+        }
+        --active_callers;
+    }
+
+    /// Expects that streams which break off as all routers end go on once these are back, now that no fault
+    /// is in the way.
+    task<void> expect_take_ups_after_the_death_of_all_routers() {
+        constexpr std::size_t streams = 8;
+        state->event_pause = 40ms;
+        prepaid_tokens +=
+            20 * tokens(streams) * tokens_per_stream; // What routers held that were killed is lost.
+        configure(routes, ++version, prepaid_tokens);
+        co_await sleep_for(500ms);
+        std::vector<taken_stream> begun(streams);
+        std::size_t answered = 0;
+        const auto bring = [&](taken_stream& stream) -> task<void> {
+            co_await bring_events(stream);
+            ++answered;
+        };
+        for (taken_stream& each : begun) {
+            asio::co_spawn(context, bring(each), asio::detached);
+        }
+        co_await sleep_for(400ms);
+        EXPECT_EQ(0U, answered) << "streams ended before the routers did";
+        co_await kill_all_routers();
+        while (answered < streams) {
+            co_await sleep_for(20ms);
+        }
+        co_await expect_recovery();
+        std::vector<taken_stream*> broken;
+        for (taken_stream& each : begun) {
+            if (each.last_event() > 0 && each.last_event() < events_per_stream) {
+                broken.push_back(&each);
+            }
+        }
+        answered = 0;
+        for (taken_stream* each : broken) {
+            asio::co_spawn(context, bring(*each), asio::detached);
+        }
+        while (answered < broken.size()) {
+            co_await sleep_for(20ms);
+        }
+        const auto whole = std::count_if(broken.begin(), broken.end(), [](const taken_stream* each) {
+            return each->last_event() == events_per_stream;
+        });
+        EXPECT_GE(2 * std::size_t(whole), broken.size())
+            << "too few of the streams that were taken up went on";
+        std::cout << "seed " << GetParam() << ": " << whole << " of " << broken.size()
+                  << " broken streams went on\n";
+    }
+
     /// Sends a request whose prompt has the deadly part to the router with this index. It must not succeed.
     task<unsigned> send_deadly_request(std::size_t router) {
         const std::string first_part = "a" + std::to_string(random_deadly() % 4);
@@ -360,7 +441,9 @@
         }
         for (std::size_t i = 0; i < router_count; ++i) {
             asio::co_spawn(context, run_eager_caller(), asio::detached);
+            asio::co_spawn(context, run_stream_taker(), asio::detached);
         }
+        asio::co_spawn(context, kill_routers_together(), asio::detached);
         asio::co_spawn(context, run_deadly_caller(), asio::detached);
         asio::co_spawn(context, run_uploader(), asio::detached);
         asio::co_spawn(context, leave_odd_entries(), asio::detached);
@@ -380,6 +463,7 @@
         co_await expect_quarantine();
         co_await expect_limit_kept();
         co_await expect_recovery();
+        co_await expect_take_ups_after_the_death_of_all_routers();
         co_await expect_every_request_answered();
         co_await sleep_for(late_run_time);
     }
