--- a/src/streams/origin_keeper.h
+++ b/src/streams/origin_keeper.h
@@ -10,7 +10,7 @@
 
 namespace eelgrassgw {
 
-/// Keeps what routers tell of streams, and answers their questions. So that outlives all routers together.
+/// Keeps what routers tell of streams, which so outlives all of them together, and answers their questions.
 /// Not thread-safe.
 class origin_keeper {
 public:
