--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Prepares the stand-ins of review/11 to review/15. They are Python programs without dependencies, so there is
+# Prepares the stand-ins of review/11 and review/12. They are Python programs without dependencies, so there is
 # nothing to compile: this checks that the interpreter is there and takes the files.
 set -eu
 cd "$(dirname "$0")"
